--- /dev/null
+++ b/admission/warmth.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"lovageshift"
+)
+
+const (
+	// A first token this many times later than expected marks a cold engine.
+	coldFactor      = 4
+	coldSlackMillis = 250
+	speedWeight     = 0.2
+	// Gaps above the limit shrink the number of running requests by this share.
+	gapBackoff    = 0.9
+	gapWeight     = 0.02
+	backoffMillis = 1000
+)
+
+// Epoch numbers the warm-ups of a target; work admitted in an earlier one proves nothing.
+type Epoch int
+
+// Warmth is how many requests at once a target bears.
+type Warmth struct {
+	cold, most  int
+	limit       float64
+	epoch       Epoch
+	engine      string
+	speed       float64 // prompt tokens per millisecond
+	gap         float64 // milliseconds between tokens
+	warming     bool
+	lastBackoff lovageshift.Millis
+}
+
+// NewWarmth returns a cold target that bears cold requests now and at most most.
+func NewWarmth(cold, most int) *Warmth {
+	return &Warmth{cold: cold, most: most, limit: float64(cold), warming: true}
+}
+
+// SetBounds changes the cold limit and the most requests, counted in requests.
+func (w *Warmth) SetBounds(cold, most int) {
+	w.cold, w.most = cold, most
+	w.limit = max(min(w.limit, float64(most)), float64(cold))
+}
+
+// Limit returns how many requests may run at once.
+func (w *Warmth) Limit() int { return int(w.limit) }
+
+// Epoch returns the present warm-up.
+func (w *Warmth) Epoch() Epoch { return w.epoch }
+
+// Cold reports whether the target is still warming up.
+func (w *Warmth) Cold() bool { return w.warming }
+
+// Speed returns the measured prompt tokens per second, or 0 before the first answer.
+func (w *Warmth) Speed() float64 { return w.speed * 1000 }
+
+// MeanGap returns the measured milliseconds between tokens, or 0 before the first answer.
+func (w *Warmth) MeanGap() float64 { return w.gap }
+
+// Chill falls back to the cold limit and begins a new warm-up.
+func (w *Warmth) Chill() {
+	w.limit = float64(w.cold)
+	w.warming = true
+	w.epoch++
+	w.speed = 0
+}
+
+// Engine records the engine's incarnation and reports whether a new one made the target cold.
+func (w *Warmth) Engine(incarnation string) bool {
+	if incarnation == "" || incarnation == w.engine {
+		return false
+	}
+	first := w.engine == ""
+	w.engine = incarnation
+	if first {
+		return false
+	}
+	w.Chill()
+	return true
+}
+
+// FirstToken records a first token after elapsed milliseconds with ahead uncached prompt tokens to compute before it, and reports whether it shows a cold engine.
+func (w *Warmth) FirstToken(ahead lovageshift.Tokens, elapsed lovageshift.Millis) bool {
+	elapsed = max(elapsed, 1)
+	if w.speed > 0 && !w.warming {
+		expected := float64(ahead)/w.speed + w.gap
+		if float64(elapsed) > coldFactor*expected+coldSlackMillis {
+			w.Chill()
+			return true
+		}
+	}
+	if ahead > 0 {
+		w.speed = blend(w.speed, float64(ahead)/float64(elapsed), speedWeight)
+	}
+	return false
+}
+
+// Completed raises the limit by one for a whole answer that was admitted in the present warm-up.
+func (w *Warmth) Completed(epoch Epoch) {
+	if epoch != w.epoch {
+		return
+	}
+	w.limit = min(w.limit+1, float64(w.most))
+	if w.limit >= float64(w.most) {
+		w.warming = false
+	}
+}
+
+// Gap records the milliseconds between two tokens of one answer and shrinks the limit while their mean exceeds the bound.
+func (w *Warmth) Gap(now lovageshift.Millis, gap float64, bound lovageshift.Millis) {
+	w.gap = blend(w.gap, gap, gapWeight)
+	if bound <= 0 || w.gap <= float64(bound) || now-w.lastBackoff < backoffMillis {
+		return
+	}
+	w.lastBackoff = now
+	w.limit = max(w.limit*gapBackoff, float64(w.cold))
+}
+
+func blend(old, latest, weight float64) float64 {
+	if old == 0 {
+		return latest
+	}
+	return old + weight*(latest-old)
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"lovageshift"
+	"lovageshift/admission"
+	"lovageshift/grant"
+	"lovageshift/idempotency"
+	"lovageshift/membership"
+	"lovageshift/order"
+)
+
+// followConfig applies each configuration as it comes into force.
+func (a *Agent) followConfig(ctx context.Context) error {
+	for {
+		changed := a.node.Book.Changed()
+		if config := a.node.Book.Config(); config != nil {
+			a.mutex.Lock()
+			a.apply(config)
+			a.mutex.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// apply needs the lock.
+func (a *Agent) apply(config *lovageshift.Config) {
+	if a.config == config {
+		return
+	}
+	before := a.config
+	a.config = config
+	now := a.node.Now()
+	a.applyLimits(&config.Limits)
+	a.bound = gapBound(config)
+	a.applyMembers(config, now)
+	a.applyShares(before, config, now)
+	if target := config.Targets[a.options.Target]; target != nil {
+		a.applyTarget(target)
+		if before != nil {
+			a.desk.Stagger(now, order.Turn(target.ID, before, config), config.Limits.WeightLoadsAtOnce)
+		}
+	} else {
+		klog.Warningf("agent %s: the configuration does not name this target", a.options.Target)
+	}
+	a.enforce(config)
+	a.notify()
+	a.poke()
+}
+
+func (a *Agent) applyLimits(limits *lovageshift.Limits) {
+	a.window.SetTransit(limits.TransitMillis)
+	a.keeper.SetTimes(limits.LeaseMillis, limits.TransitMillis)
+	a.ledger.SetLimits(idempotency.Limits{
+		Records: limits.IdempotencyRecords, AnswerBytes: answerKept,
+		Lifetime: limits.KeyLifetimeMillis, Skew: limits.ClockSkewMillis,
+	})
+}
+
+// applyMembers records since when this agent keeps what the list of targets gives it.
+// An earlier owner may act for as long as it takes to notice that it cannot confirm its list.
+func (a *Agent) applyMembers(config *lovageshift.Config, now lovageshift.Millis) {
+	all := membership.AllTargets(config)
+	a.keepers.Activate(all, now+config.Limits.ConfirmMillis)
+	a.keeper.Forget(func(account lovageshift.AccountID, share grant.Share) bool {
+		return grant.KeeperOf(account, share, all) == a.options.Target
+	})
+	self := config.Targets[a.options.Target]
+	if self != nil && self.Kind == lovageshift.KindService {
+		wall := a.options.Clock.Wall()
+		a.homes.Activate(membership.RouteTargets(config, self.Route), wall+config.Limits.ConfirmMillis)
+	}
+}
+
+// applyShares lets the shares of an account rest whose bucket is cut anew.
+func (a *Agent) applyShares(before, config *lovageshift.Config, now lovageshift.Millis) {
+	for id, settled := range a.moved {
+		if now > settled+forgetEntries {
+			delete(a.moved, id)
+		}
+	}
+	if before == nil {
+		return
+	}
+	for id, account := range config.Accounts {
+		earlier := before.Accounts[id]
+		if earlier != nil && grant.Shares(earlier, &before.Limits) != grant.Shares(account, &config.Limits) {
+			a.moved[id] = now + config.Limits.ConfirmMillis
+		}
+	}
+}
+
+func (a *Agent) applyTarget(target *lovageshift.Target) {
+	a.warmth.SetBounds(target.ColdLimit, target.MaxRunning)
+	a.room.SetMaxWaiting(target.MaxWaiting)
+	if a.address != target.Address {
+		a.address = target.Address
+		a.engine = a.options.Connect(target.Address)
+	}
+}
+
+// enforce takes waiting work back from a target out of service and ends work of withdrawn keys.
+func (a *Agent) enforce(config *lovageshift.Config) {
+	if !config.TargetInService(a.options.Target) {
+		a.refuseWaiting(lovageshift.ReasonTargetOut)
+	}
+	for ticket, j := range a.jobs {
+		if j.permitted(config) {
+			continue
+		}
+		refusal := lovageshift.NotRun(lovageshift.ReasonKeyWithdrawn, "the key was withdrawn")
+		if a.room.Withdraw(ticket) {
+			j.decide(refusal)
+			continue
+		}
+		refusal.Outcome = lovageshift.OutcomeUnknown
+		j.cut(refusal)
+	}
+}
+
+// refuseWaiting needs the lock.
+func (a *Agent) refuseWaiting(reason lovageshift.Reason) {
+	waiting := append([]*admission.Ticket(nil), a.room.Waiting()...)
+	for _, ticket := range waiting {
+		if a.room.Withdraw(ticket) {
+			a.jobs[ticket].decide(lovageshift.NotRun(reason, "the target takes no new work"))
+		}
+	}
+}
--- /dev/null
+++ b/agent/lease.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"context"
+
+	"lovageshift"
+	"lovageshift/grant"
+	"lovageshift/peer"
+	"lovageshift/wire"
+)
+
+const unkeptRetry lovageshift.Millis = 1000
+
+// Lease answers an entry's asks for tokens of the shares kept here and takes in what became of earlier leases.
+func (a *Agent) Lease(_ context.Context, request *wire.LeaseRequest) (*wire.LeaseReply, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.node.Now()
+	a.node.Observe(peer.Address{ID: request.Entry}, request.Stamp, now)
+	if config := a.node.Book.Config(); config != nil {
+		a.apply(config)
+	}
+	asker := grant.Asker{
+		Entry: lovageshift.EntryID(request.Entry), Incarnation: lovageshift.Incarnation(request.Incarnation),
+	}
+	for _, use := range request.Uses {
+		a.keeper.Report(now, useOf(asker, use))
+	}
+	reply := &wire.LeaseReply{KeeperIncarnation: int64(a.node.Incarnation), Stamp: a.node.Stamp()}
+	for _, ask := range request.Asks {
+		granted := a.grant(now, askOf(asker, ask))
+		reply.Grants = append(reply.Grants, &wire.LeaseGrant{
+			Lease: ask.Lease, Tokens: int64(granted.Tokens),
+			TtlMillis: int64(granted.TTL), RetryAfter: int64(granted.RetryAfter),
+		})
+	}
+	return reply, nil
+}
+
+func askOf(asker grant.Asker, ask *wire.LeaseAsk) grant.Ask {
+	return grant.Ask{
+		Asker: asker, Lease: grant.LeaseID(ask.Lease), Account: lovageshift.AccountID(ask.Account),
+		Share: grant.Share(ask.Share), Tokens: lovageshift.Tokens(ask.Tokens),
+	}
+}
+
+func useOf(asker grant.Asker, use *wire.LeaseUse) grant.Use {
+	return grant.Use{
+		Asker: asker, Lease: grant.LeaseID(use.Lease), Account: lovageshift.AccountID(use.Account),
+		Share: grant.Share(use.Share), Used: lovageshift.Tokens(use.Used),
+		InFlight: lovageshift.Tokens(use.InFlight), Returned: lovageshift.Tokens(use.Returned),
+	}
+}
+
+// grant needs the lock; it gives nothing that this agent does not surely keep alone.
+func (a *Agent) grant(now lovageshift.Millis, ask grant.Ask) grant.Grant {
+	none := grant.Grant{Lease: ask.Lease, RetryAfter: unkeptRetry}
+	if a.config == nil || !a.node.Permitted() {
+		return none
+	}
+	account := a.config.Accounts[ask.Account]
+	if account == nil || ask.Share < 0 || int(ask.Share) >= grant.Shares(account, &a.config.Limits) {
+		return none
+	}
+	since, kept := a.keepers.Since(func(members []lovageshift.TargetID) lovageshift.TargetID {
+		return grant.KeeperOf(ask.Account, ask.Share, members)
+	})
+	if !kept {
+		return none
+	}
+	since = max(since, a.moved[ask.Account])
+	return a.keeper.Grant(now, since, grant.TermsOf(account, &a.config.Limits), ask)
+}
--- /dev/null
+++ b/clock.go
@@ -0,0 +1,26 @@
+package lovageshift
+
+import "time"
+
+// Millis is a point in time or a duration in milliseconds.
+type Millis int64
+
+// Duration returns m as a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Seconds returns m in seconds.
+func (m Millis) Seconds() float64 { return float64(m) / 1000 }
+
+// Clock reads a monotonic time since its start and the wall time.
+type Clock struct {
+	start time.Time
+}
+
+// NewClock returns a clock that starts at one millisecond now.
+func NewClock() Clock { return Clock{start: time.Now()} }
+
+// Now returns the milliseconds since the clock started; it never goes back.
+func (c Clock) Now() Millis { return Millis(time.Since(c.start).Milliseconds()) + 1 }
+
+// Wall returns the wall time in milliseconds since the Unix epoch.
+func (c Clock) Wall() Millis { return Millis(time.Now().UnixMilli()) }
--- /dev/null
+++ b/cmd/lovageshift/check.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/spf13/cobra"
+
+	"lovageshift/folder"
+)
+
+const checkHelp = `Reads a configuration folder as the processes do. It prints each field in force
+with the file and line that set it, or every error with file, line and key.`
+
+var errCheckFailed = errors.New("the configuration is refused")
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FOLDER",
+		Short: "Check a configuration folder",
+		Long:  checkHelp,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			return check(command.OutOrStdout(), args[0])
+		},
+	}
+}
+
+func check(out io.Writer, path string) error {
+	set, err := folder.NewDirectory(path).Read()
+	if err != nil {
+		return err
+	}
+	merged, err := folder.Merge(set.Revision, set.Files)
+	var faults folder.Faults
+	if errors.As(err, &faults) {
+		for _, fault := range faults {
+			fmt.Fprintln(out, fault.Error())
+		}
+		return errCheckFailed
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "revision %d, hash %s\n", merged.Config.Revision, merged.Config.Hash)
+	paths := make([]string, 0, len(merged.Sources))
+	for path := range merged.Sources {
+		paths = append(paths, path)
+	}
+	sort.Strings(paths)
+	for _, path := range paths {
+		source := merged.Sources[path]
+		fmt.Fprintf(out, "%s = %s  (%s:%d)\n", path, source.Text, source.File, source.Line)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lovageshift/key.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"lovageshift"
+)
+
+const keyHelp = `Makes a client key. The secret goes to the client and is shown once; the hash is
+published in a configuration file:
+
+  [keys.NAME]
+  account = "ACCOUNT"
+  hash = "sha256:..."`
+
+func keyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "key",
+		Short: "Make a client key and the hash to publish",
+		Long:  keyHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			secret := lovageshift.NewSecret()
+			hash, err := lovageshift.HashSecret(secret)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(command.OutOrStdout(), "secret = %q\nhash = %q\n", secret, hash.String())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/lovageshift/show.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+)
+
+const showHelp = `Prints a running entry's or agent's view: targets, zones, queues, grants,
+revision, trust, and refusals and retries by reason. ADDRESS is the process's
+operators' address.`
+
+const showTimeout = 5 * time.Second
+
+func showCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show ADDRESS",
+		Short: "Show a running process's view",
+		Long:  showHelp,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			return show(command.OutOrStdout(), args[0])
+		},
+	}
+}
+
+func show(out io.Writer, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return trace.BadParameter("%q is not IP:port", address)
+	}
+	client := http.Client{Timeout: showTimeout}
+	response, err := client.Get("http://" + address + "/status")
+	if err != nil {
+		return trace.Wrap(err, "reach the process")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return trace.Wrap(err, "read the status")
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, content, "", "  "); err != nil {
+		return trace.Wrap(err, "read the status")
+	}
+	_, err = fmt.Fprint(out, indented.String())
+	return err
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,194 @@
+package lovageshift
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Config is one checked configuration; it is immutable once validated.
+type Config struct {
+	Revision Revision
+	Hash     string
+	Accounts map[AccountID]*Account
+	Keys     map[KeyID]*Key
+	Tiers    map[TierID]*Tier
+	Models   map[ModelID]*Model
+	Zones    map[ZoneID]*Zone
+	Targets  map[TargetID]*Target
+	Routes   map[RouteID]*Route
+	Limits   Limits
+
+	byHash       map[KeyHash]*Key
+	targets      []*Target
+	routesByPath []*Route
+}
+
+// Problem is one fault of a configuration, at the dotted path of a field.
+type Problem struct {
+	Path    string
+	Message string
+}
+
+func problem(path, format string, args ...any) Problem {
+	return Problem{Path: path, Message: fmt.Sprintf(format, args...)}
+}
+
+// NewConfig returns an empty configuration with default limits.
+func NewConfig() *Config {
+	return &Config{
+		Accounts: map[AccountID]*Account{},
+		Keys:     map[KeyID]*Key{},
+		Tiers:    map[TierID]*Tier{},
+		Models:   map[ModelID]*Model{},
+		Zones:    map[ZoneID]*Zone{},
+		Targets:  map[TargetID]*Target{},
+		Routes:   map[RouteID]*Route{},
+		Limits:   DefaultLimits(),
+	}
+}
+
+// Entity returns the named member of a section, made with its defaults when new, or nil for an unknown section.
+func (c *Config) Entity(section, name string) any {
+	switch section {
+	case "accounts":
+		return entity(c.Accounts, AccountID(name), func(id AccountID) *Account { return &Account{ID: id} })
+	case "keys":
+		return entity(c.Keys, KeyID(name), func(id KeyID) *Key { return &Key{ID: id} })
+	case "tiers":
+		return entity(c.Tiers, TierID(name), newTier)
+	case "models":
+		return entity(c.Models, ModelID(name), newModel)
+	case "zones":
+		return entity(c.Zones, ZoneID(name), newZone)
+	case "targets":
+		return entity(c.Targets, TargetID(name), newTarget)
+	case "routes":
+		return entity(c.Routes, RouteID(name), newRoute)
+	default:
+		return nil
+	}
+}
+
+func entity[K comparable, V any](members map[K]*V, id K, create func(K) *V) any {
+	if members[id] == nil {
+		members[id] = create(id)
+	}
+	return members[id]
+}
+
+type validator interface {
+	validate(*Config) []Problem
+}
+
+// Validate checks every field and reference and prepares the look-ups; it returns all problems, sorted by path.
+func (c *Config) Validate() []Problem {
+	problems := c.Limits.validate()
+	problems = append(problems, validateAll(c, c.Accounts)...)
+	problems = append(problems, validateAll(c, c.Keys)...)
+	problems = append(problems, validateAll(c, c.Tiers)...)
+	problems = append(problems, validateAll(c, c.Models)...)
+	problems = append(problems, validateAll(c, c.Zones)...)
+	problems = append(problems, validateAll(c, c.Targets)...)
+	problems = append(problems, validateAll(c, c.Routes)...)
+	problems = append(problems, c.index()...)
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	return problems
+}
+
+func validateAll[K comparable, V validator](config *Config, members map[K]V) []Problem {
+	var problems []Problem
+	for _, member := range members {
+		problems = append(problems, member.validate(config)...)
+	}
+	return problems
+}
+
+func (c *Config) index() []Problem {
+	problems := c.indexKeys()
+	c.targets = c.targets[:0]
+	for _, target := range c.Targets {
+		c.targets = append(c.targets, target)
+	}
+	sort.Slice(c.targets, func(i, j int) bool { return c.targets[i].ID < c.targets[j].ID })
+	c.routesByPath = c.routesByPath[:0]
+	for _, route := range c.Routes {
+		c.routesByPath = append(c.routesByPath, route)
+	}
+	// The longest prefix is matched first.
+	sort.Slice(c.routesByPath, func(i, j int) bool {
+		return len(c.routesByPath[i].Prefix) > len(c.routesByPath[j].Prefix)
+	})
+	return problems
+}
+
+func (c *Config) indexKeys() []Problem {
+	var problems []Problem
+	c.byHash = make(map[KeyHash]*Key, len(c.Keys))
+	for _, key := range c.Keys {
+		hash, err := ParseKeyHash(key.Hash)
+		if err != nil {
+			continue
+		}
+		if twin := c.byHash[hash]; twin != nil {
+			later := max(string(twin.ID), string(key.ID))
+			problems = append(problems, problem("keys."+later+".hash", "another key has the same hash"))
+		}
+		c.byHash[hash] = key
+	}
+	return problems
+}
+
+// KeyFor returns the key with the hash, or nil.
+func (c *Config) KeyFor(hash KeyHash) *Key {
+	key := c.byHash[hash]
+	if key == nil {
+		return nil
+	}
+	published, err := ParseKeyHash(key.Hash)
+	if err != nil || !published.Equal(hash) {
+		return nil
+	}
+	return key
+}
+
+// KeyInForce reports whether the key exists, is not withdrawn and belongs to the account.
+func (c *Config) KeyInForce(id KeyID, account AccountID) bool {
+	key := c.Keys[id]
+	return key != nil && !key.Withdrawn && key.Account == account
+}
+
+// RouteFor returns the route with the longest prefix of the path, or nil.
+func (c *Config) RouteFor(path string) *Route {
+	for _, route := range c.routesByPath {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// TargetsByID returns all targets in the order of their ids; the slice must not be changed.
+func (c *Config) TargetsByID() []*Target { return c.targets }
+
+// TargetInService reports whether the target and its zone are in service.
+func (c *Config) TargetInService(id TargetID) bool {
+	target := c.Targets[id]
+	if target == nil || !target.InService {
+		return false
+	}
+	zone := c.Zones[target.Zone]
+	return zone != nil && zone.InService
+}
+
+// RankOf returns the rank of a client account's tier, or the last rank for an unknown one.
+func (c *Config) RankOf(id AccountID) Rank {
+	account := c.Accounts[id]
+	if account == nil || c.Tiers[account.Tier] == nil {
+		return LastRank
+	}
+	return c.Tiers[account.Tier].Rank
+}
+
+// LastRank is the rank of work without a tier, such as calls on open routes.
+const LastRank Rank = 32
--- /dev/null
+++ b/engine/doc.go
@@ -0,0 +1,3 @@
+// Package engine speaks to what stands behind a target, a model engine or a
+// plain service, over HTTP.
+package engine
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"lovageshift"
+)
+
+const internalPrefix = "Lovageshift-"
+
+// Handler serves callers.
+func (e *Entry) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.UseEncodedPath()
+	router.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", e.serveReady).Methods(http.MethodGet)
+	router.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
+	router.HandleFunc("/v1/chat/completions", e.serveCompletion).Methods(http.MethodPost)
+	router.HandleFunc("/v1/completions", e.serveCompletion).Methods(http.MethodPost)
+	router.PathPrefix("/").HandlerFunc(e.serveRoute)
+	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		e.refuse(w, lovageshift.NotRun(lovageshift.ReasonMethodNotAllowed, "the method is not allowed here"))
+	})
+	return router
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// checkHeaders refuses headers that name internals.
+func checkHeaders(r *http.Request) *lovageshift.Refusal {
+	for name := range r.Header {
+		if strings.HasPrefix(name, internalPrefix) || strings.HasPrefix(name, "X-Engine-") || name == "X-Stream-Id" {
+			return lovageshift.NotRun(lovageshift.ReasonHeaderForbidden, "the header "+name+" is reserved")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"lovageshift"
+	"lovageshift/metrics"
+)
+
+// Status is an entry's view, for operators.
+type Status struct {
+	Process       string                          `json:"process"`
+	Ready         bool                            `json:"ready"`
+	Draining      bool                            `json:"draining"`
+	Revision      lovageshift.Revision            `json:"revision"`
+	Hash          string                          `json:"hash"`
+	Trust         string                          `json:"trust"`
+	ConfirmedAgo  lovageshift.Millis              `json:"confirmedAgoMillis"`
+	SourceReads   int64                           `json:"sourceReads"`
+	Connections   int                             `json:"connections"`
+	AccountsInUse int                             `json:"accountsInUse"`
+	Zones         map[lovageshift.ZoneID]bool     `json:"zonesInService"`
+	Targets       map[lovageshift.TargetID]Target `json:"targets"`
+	Refusals      metrics.Counts                  `json:"refusals"`
+	Retries       metrics.Counts                  `json:"retries"`
+}
+
+// Target is what an entry knows of a target.
+type Target struct {
+	Zone        lovageshift.ZoneID `json:"zone"`
+	InService   bool               `json:"inService"`
+	TakesWork   bool               `json:"takesWork"`
+	Outstanding int                `json:"outstanding"`
+}
+
+// Status returns the entry's present view.
+func (e *Entry) Status() Status {
+	status := Status{
+		Process: string(e.options.ID), Ready: e.Ready(), Draining: e.draining.Load(),
+		Trust: e.node.Trust().String(), ConfirmedAgo: e.node.Book.ConfirmedAgo(e.node.Now()),
+		SourceReads: e.node.Reads(), Connections: e.node.Pool.Open(),
+		Zones: map[lovageshift.ZoneID]bool{}, Targets: map[lovageshift.TargetID]Target{},
+		Refusals: e.options.Metrics.Counts(metrics.Refusals), Retries: e.options.Metrics.Counts(metrics.Retries),
+	}
+	e.walletMutex.Lock()
+	status.AccountsInUse = e.wallet.Accounts()
+	e.walletMutex.Unlock()
+	if config := e.node.Book.Config(); config != nil {
+		e.describe(config, &status)
+	}
+	return status
+}
+
+func (e *Entry) describe(config *lovageshift.Config, status *Status) {
+	status.Revision, status.Hash = config.Revision, config.Hash
+	for id, zone := range config.Zones {
+		status.Zones[id] = zone.InService
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for id := range e.links {
+		target := config.Targets[id]
+		if target == nil {
+			continue
+		}
+		_, takes := e.board.Takes(id)
+		status.Targets[id] = Target{
+			Zone: target.Zone, InService: config.TargetInService(id),
+			TakesWork: takes, Outstanding: e.board.Outstanding(id),
+		}
+	}
+}
+
+// Operators serves metrics and the status, on an address apart from the callers'.
+func (e *Entry) Operators() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", e.options.Metrics.Handler())
+	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(e.Status())
+	})
+	return router
+}
+
+// RegisterGauges shows the revision in force, the trust in it and the open connections among the metrics.
+func (e *Entry) RegisterGauges() error { return e.node.RegisterGauges() }
--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,71 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server serves drpc calls on a listener.
+type Server struct {
+	server *drpcserver.Server
+
+	mutex sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// NewServer returns a server of the handler.
+func NewServer(handler drpc.Handler) *Server {
+	options := drpcserver.Options{Manager: managerOptions(), Log: func(error) {}}
+	return &Server{server: drpcserver.NewWithOptions(handler, options), conns: map[net.Conn]bool{}}
+}
+
+// Serve accepts connections until the context ends, then closes them.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error {
+		<-ctx.Done()
+		_ = listener.Close()
+		s.closeAll()
+		return nil
+	})
+	tasks.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				if ctx.Err() != nil {
+					return nil
+				}
+				return err
+			}
+			tasks.Go(func() error {
+				s.serveConn(ctx, conn)
+				return nil
+			})
+		}
+	})
+	return tasks.Wait()
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	s.mutex.Lock()
+	s.conns[conn] = true
+	s.mutex.Unlock()
+	_ = s.server.ServeOne(ctx, conn)
+	s.mutex.Lock()
+	delete(s.conns, conn)
+	s.mutex.Unlock()
+	_ = conn.Close()
+}
+
+func (s *Server) closeAll() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,116 @@
+package metrics
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"lovageshift"
+)
+
+// Name is the name of a counter.
+type Name string
+
+// The counters.
+const (
+	Refusals       Name = "lovageshift_refusals"
+	Retries        Name = "lovageshift_retries"
+	Answers        Name = "lovageshift_answers"
+	Dispatches     Name = "lovageshift_dispatches"
+	Configurations Name = "lovageshift_configurations"
+	Crashes        Name = "lovageshift_engine_crashes"
+	Orders         Name = "lovageshift_orders"
+	ColdStarts     Name = "lovageshift_cold_starts"
+	WastedPrefill  Name = "lovageshift_wasted_prefill_tokens"
+)
+
+var allNames = []Name{Refusals, Retries, Answers, Dispatches, Configurations, Crashes, Orders, ColdStarts, WastedPrefill}
+
+// Counts holds the value of each label of one counter.
+type Counts map[string]int64
+
+// Metrics counts by name and one label.
+type Metrics struct {
+	counters map[Name]metric.Int64Counter
+	meter    metric.Meter
+	handler  http.Handler
+
+	mutex  sync.Mutex
+	counts map[Name]Counts
+	labels map[Name]map[string]metric.MeasurementOption
+}
+
+// New returns counters that start at zero.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, trace.Wrap(err, "make metrics exporter")
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	m := &Metrics{
+		counters: map[Name]metric.Int64Counter{},
+		meter:    provider.Meter("lovageshift"),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		counts:   map[Name]Counts{},
+		labels:   map[Name]map[string]metric.MeasurementOption{},
+	}
+	for _, name := range allNames {
+		counter, err := m.meter.Int64Counter(string(name))
+		if err != nil {
+			return nil, trace.Wrap(err, "make counter %s", name)
+		}
+		m.counters[name] = counter
+		m.counts[name] = Counts{}
+		m.labels[name] = map[string]metric.MeasurementOption{}
+	}
+	return m, nil
+}
+
+// Add adds to the counter's value for the label.
+func (m *Metrics) Add(name Name, label string, amount int64) {
+	m.mutex.Lock()
+	m.counts[name][label] += amount
+	option := m.labels[name][label]
+	if option == nil {
+		option = metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", label)))
+		m.labels[name][label] = option
+	}
+	m.mutex.Unlock()
+	m.counters[name].Add(context.Background(), amount, option)
+}
+
+// Refused counts a refusal by its reason.
+func (m *Metrics) Refused(reason lovageshift.Reason) { m.Add(Refusals, string(reason), 1) }
+
+// Retried counts a retry by the reason of the refusal before it.
+func (m *Metrics) Retried(reason lovageshift.Reason) { m.Add(Retries, string(reason), 1) }
+
+// Gauge registers a value that is read when metrics are collected.
+func (m *Metrics) Gauge(name string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithFloat64Callback(
+		func(_ context.Context, observer metric.Float64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return trace.Wrap(err, "make gauge %s", name)
+}
+
+// Counts returns a copy of the counter's values by label.
+func (m *Metrics) Counts(name Name) Counts {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return maps.Clone(m.counts[name])
+}
+
+// Handler serves the metrics in the Prometheus format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
--- /dev/null
+++ b/model.go
@@ -0,0 +1,41 @@
+package lovageshift
+
+import "math"
+
+// Model is a model that callers may ask for, with its token limits.
+type Model struct {
+	ID                  ModelID  `toml:"-"`
+	ContextTokens       Tokens   `toml:"contextTokens"`
+	DefaultOutputTokens Tokens   `toml:"defaultOutputTokens"`
+	MaxOutputTokens     Tokens   `toml:"maxOutputTokens"`
+	Adapters            []string `toml:"adapters"`
+	// MinBytesPerToken bounds a prompt's tokens by its bytes.
+	MinBytesPerToken float64 `toml:"minBytesPerToken"`
+}
+
+func newModel(id ModelID) *Model {
+	return &Model{ID: id, ContextTokens: 32768, DefaultOutputTokens: 512, MaxOutputTokens: 4096, MinBytesPerToken: 1}
+}
+
+func (m *Model) validate(*Config) []Problem {
+	var problems []Problem
+	path := "models." + string(m.ID)
+	if m.ContextTokens <= 0 {
+		problems = append(problems, problem(path+".contextTokens", "must be above 0"))
+	}
+	if m.DefaultOutputTokens <= 0 || m.DefaultOutputTokens > m.MaxOutputTokens {
+		problems = append(problems, problem(path+".defaultOutputTokens", "must be from 1 to maxOutputTokens"))
+	}
+	if m.MaxOutputTokens > m.ContextTokens {
+		problems = append(problems, problem(path+".maxOutputTokens", "must not exceed contextTokens"))
+	}
+	if m.MinBytesPerToken <= 0 || m.MinBytesPerToken > 16 {
+		problems = append(problems, problem(path+".minBytesPerToken", "must be above 0 and at most 16"))
+	}
+	return problems
+}
+
+// PromptBound returns the most tokens that a prompt of the size can have.
+func (m *Model) PromptBound(size int) Tokens {
+	return Tokens(math.Ceil(float64(size) / m.MinBytesPerToken))
+}
--- /dev/null
+++ b/peer/suspects.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"lovageshift"
+	"lovageshift/quarantine"
+	"lovageshift/wire"
+)
+
+// Crashed counts a crash against fingerprints and wakes those who pass suspects on.
+func (n *Node) Crashed(fingerprints []lovageshift.Fingerprint) {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	for _, fingerprint := range fingerprints {
+		n.suspects.Crash(n.Now(), fingerprint)
+	}
+	n.wakeNews()
+}
+
+// wakeNews needs the suspects' lock.
+func (n *Node) wakeNews() {
+	close(n.news)
+	n.news = make(chan struct{})
+}
+
+// SuspectNews returns a channel that is closed when there are new suspects.
+func (n *Node) SuspectNews() <-chan struct{} {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	return n.news
+}
+
+// LearnSuspects takes in suspects from another process.
+func (n *Node) LearnSuspects(suspects []*wire.Suspect) {
+	if len(suspects) == 0 {
+		return
+	}
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	news := false
+	for _, suspect := range suspects {
+		learned := quarantine.Suspect{
+			Fingerprint: lovageshift.Fingerprint(suspect.Fingerprint),
+			Crashes:     int(suspect.Crashes),
+			Age:         lovageshift.Millis(suspect.AgeMillis),
+		}
+		news = n.suspects.Learn(n.Now(), learned) || news
+	}
+	if news {
+		n.wakeNews()
+	}
+}
+
+// Judge says how a request with the fingerprint may run.
+func (n *Node) Judge(fingerprint lovageshift.Fingerprint) quarantine.Verdict {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	return n.suspects.Judge(n.Now(), fingerprint)
+}
+
+// Acquit drops a suspect that gave a whole answer.
+func (n *Node) Acquit(fingerprint lovageshift.Fingerprint) {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	n.suspects.Acquit(fingerprint)
+}
+
+// Suspects returns the newest suspects to pass on.
+func (n *Node) Suspects() []*wire.Suspect {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	var messages []*wire.Suspect
+	for _, suspect := range n.suspects.Newest(n.Now(), suspectsPerExchange) {
+		messages = append(messages, &wire.Suspect{
+			Fingerprint: uint64(suspect.Fingerprint),
+			Crashes:     int32(suspect.Crashes),
+			AgeMillis:   int64(suspect.Age),
+		})
+	}
+	return messages
+}
--- /dev/null
+++ b/process/doc.go
@@ -0,0 +1,2 @@
+// Package process turns settings into a running entry or agent.
+package process
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,3 @@
+// Package quarantine links the resends of a request that crashes its target,
+// so that it costs at most two targets.
+package quarantine
--- /dev/null
+++ b/quarantine/register.go
@@ -0,0 +1,129 @@
+package quarantine
+
+import (
+	"container/list"
+
+	"lovageshift"
+)
+
+const (
+	maxSuspects = 4096
+	// A suspect that crashed this many targets is refused.
+	crashesToRefuse = 2
+)
+
+// Suspect is a fingerprint that was running when its target crashed.
+type Suspect struct {
+	Fingerprint lovageshift.Fingerprint
+	Crashes     int
+	Age         lovageshift.Millis
+}
+
+// Verdict says how a request with a fingerprint may run.
+type Verdict int
+
+// The verdicts.
+const (
+	Clear Verdict = iota
+	Alone
+	Refused
+)
+
+// Register holds the suspects that one process knows of, newest last; times are milliseconds of its clock.
+type Register struct {
+	lifetime lovageshift.Millis
+	suspects map[lovageshift.Fingerprint]*list.Element
+	order    *list.List
+}
+
+type entry struct {
+	fingerprint lovageshift.Fingerprint
+	crashes     int
+	at          lovageshift.Millis
+}
+
+// NewRegister returns an empty register whose suspects age out after lifetime milliseconds.
+func NewRegister(lifetime lovageshift.Millis) *Register {
+	return &Register{lifetime: lifetime, suspects: map[lovageshift.Fingerprint]*list.Element{}, order: list.New()}
+}
+
+// Crash counts one more crash against a fingerprint and returns its suspect.
+func (r *Register) Crash(now lovageshift.Millis, fingerprint lovageshift.Fingerprint) Suspect {
+	crashes := 1
+	if element := r.suspects[fingerprint]; element != nil {
+		crashes = element.Value.(*entry).crashes + 1
+	}
+	suspect := Suspect{Fingerprint: fingerprint, Crashes: crashes}
+	r.Learn(now, suspect)
+	return suspect
+}
+
+// Learn takes in a suspect from another process and reports whether it was news.
+func (r *Register) Learn(now lovageshift.Millis, suspect Suspect) bool {
+	r.forget(now)
+	if suspect.Age >= r.lifetime || suspect.Crashes <= 0 {
+		return false
+	}
+	at := now - suspect.Age
+	if element := r.suspects[suspect.Fingerprint]; element != nil {
+		known := element.Value.(*entry)
+		if suspect.Crashes <= known.crashes {
+			return false
+		}
+		known.crashes, known.at = suspect.Crashes, at
+		r.order.MoveToBack(element)
+		return true
+	}
+	if r.order.Len() >= maxSuspects {
+		r.drop(r.order.Front())
+	}
+	r.suspects[suspect.Fingerprint] = r.order.PushBack(&entry{suspect.Fingerprint, suspect.Crashes, at})
+	return true
+}
+
+// Acquit drops a suspect that gave a whole answer.
+func (r *Register) Acquit(fingerprint lovageshift.Fingerprint) {
+	if element := r.suspects[fingerprint]; element != nil {
+		r.drop(element)
+	}
+}
+
+// Judge says how a request with the fingerprint may run.
+func (r *Register) Judge(now lovageshift.Millis, fingerprint lovageshift.Fingerprint) Verdict {
+	r.forget(now)
+	element := r.suspects[fingerprint]
+	switch {
+	case element == nil:
+		return Clear
+	case element.Value.(*entry).crashes >= crashesToRefuse:
+		return Refused
+	default:
+		return Alone
+	}
+}
+
+// Newest returns up to count suspects, newest first, to pass on.
+func (r *Register) Newest(now lovageshift.Millis, count int) []Suspect {
+	r.forget(now)
+	var suspects []Suspect
+	for element := r.order.Back(); element != nil && len(suspects) < count; element = element.Prev() {
+		known := element.Value.(*entry)
+		suspects = append(suspects, Suspect{known.fingerprint, known.crashes, now - known.at})
+	}
+	return suspects
+}
+
+func (r *Register) forget(now lovageshift.Millis) {
+	for element := r.order.Front(); element != nil; { // at most maxSuspects
+		next := element.Next()
+		if now-element.Value.(*entry).at >= r.lifetime {
+			r.drop(element)
+		}
+		element = next
+	}
+}
+
+func (r *Register) drop(element *list.Element) {
+	r.order.Remove(element)
+	delete(r.suspects, element.Value.(*entry).fingerprint)
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,130 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"lovageshift"
+	"lovageshift/membership"
+)
+
+const (
+	// Among this many fit targets all are compared, above it a random sample.
+	compareAll   = 16
+	sampleSize   = 8
+	nearMillis   = 10.0
+	nearShare    = 1.05
+	homeBlocks   = 4
+	homeDiscount = 0.5
+)
+
+// Policy picks a target out of fit ones.
+type Policy interface {
+	// Pick returns one of the fit targets, of which there is at least one.
+	Pick(now lovageshift.Millis, board *Board, fit []lovageshift.TargetID, request Request, random *rand.Rand) lovageshift.TargetID
+}
+
+// Estimate picks the target with the least estimated time, at random among near equals, so that entries do not all choose the same one.
+type Estimate struct{}
+
+// Pick implements Policy.
+func (Estimate) Pick(now lovageshift.Millis, board *Board, fit []lovageshift.TargetID, request Request, random *rand.Rand) lovageshift.TargetID {
+	candidates := sample(board, fit, request, random)
+	home := homeOf(board, fit, request)
+	costs := make([]float64, len(candidates))
+	best := 0
+	for i, id := range candidates {
+		costs[i] = board.Estimate(now, id, request)
+		if id == home {
+			costs[i] -= discount(board, id, request)
+		}
+		if costs[i] < costs[best] {
+			best = i
+		}
+	}
+	bound := max(costs[best]*nearShare, costs[best]+nearMillis)
+	near := candidates[:0]
+	for i, id := range candidates {
+		if costs[i] <= bound {
+			near = append(near, id)
+		}
+	}
+	return near[random.IntN(len(near))]
+}
+
+// sample returns all fit targets when they are few, else some at random and those that know the prompt's beginning.
+func sample(board *Board, fit []lovageshift.TargetID, request Request, random *rand.Rand) []lovageshift.TargetID {
+	if len(fit) <= compareAll {
+		return append([]lovageshift.TargetID(nil), fit...)
+	}
+	var chosen []lovageshift.TargetID
+	for _, id := range fit {
+		if board.knows(id, request) && len(chosen) < sampleSize {
+			chosen = append(chosen, id)
+		}
+	}
+	for range sampleSize {
+		chosen = append(chosen, fit[random.IntN(len(fit))])
+	}
+	return chosen
+}
+
+// homeOf returns the target where every entry puts a beginning that none has seen before.
+func homeOf(board *Board, fit []lovageshift.TargetID, request Request) lovageshift.TargetID {
+	if len(request.Prefixes) == 0 {
+		return ""
+	}
+	for _, id := range fit {
+		if board.knows(id, request) {
+			return ""
+		}
+	}
+	return membership.Owner("prefix/"+strconv.FormatUint(uint64(request.Prefixes[0]), 16), fit)
+}
+
+// discount is the time that other entries' use of the same beginning may have saved.
+func discount(board *Board, id lovageshift.TargetID, request Request) float64 {
+	speed := board.viewOf(id).load.Speed
+	if speed == 0 {
+		speed = defaultSpeed
+	}
+	blocks := lovageshift.Tokens(min(len(request.Prefixes), homeBlocks))
+	return homeDiscount * float64(blocks*request.BlockTokens) / speed * 1000
+}
+
+// RoundRobin takes the fit targets in turn.
+type RoundRobin struct{ next int }
+
+// Pick implements Policy.
+func (r *RoundRobin) Pick(_ lovageshift.Millis, _ *Board, fit []lovageshift.TargetID, _ Request, _ *rand.Rand) lovageshift.TargetID {
+	r.next++
+	return fit[r.next%len(fit)]
+}
+
+// LeastOutstanding takes the target with the fewest outstanding requests of this entry.
+type LeastOutstanding struct{}
+
+// Pick implements Policy.
+func (LeastOutstanding) Pick(_ lovageshift.Millis, board *Board, fit []lovageshift.TargetID, _ Request, random *rand.Rand) lovageshift.TargetID {
+	start := random.IntN(len(fit))
+	best := fit[start]
+	for i := range fit {
+		id := fit[(start+i)%len(fit)]
+		if board.Outstanding(id) < board.Outstanding(best) {
+			best = id
+		}
+	}
+	return best
+}
+
+// RandomTwo takes the less loaded of two random targets.
+type RandomTwo struct{}
+
+// Pick implements Policy.
+func (RandomTwo) Pick(_ lovageshift.Millis, board *Board, fit []lovageshift.TargetID, _ Request, random *rand.Rand) lovageshift.TargetID {
+	one, other := fit[random.IntN(len(fit))], fit[random.IntN(len(fit))]
+	if board.Outstanding(other) < board.Outstanding(one) {
+		return other
+	}
+	return one
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Checks format and style and runs every test, with fixed seeds and fake clocks.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+sources=$(git ls-files '*.go' | grep -v '\.pb\.go$')
+unformatted=$(go tool gofumpt -l $sources)
+if [ -n "$unformatted" ]; then
+  echo "not formatted by gofumpt:"
+  echo "$unformatted"
+  exit 1
+fi
+go tool revive -config revive.toml -set_exit_status $(go list ./... | grep -v /wire | sed 's#^lovageshift#.#')
+go vet ./...
+go test -race -count=1 ./... -args -rapid.seed=1
--- /dev/null
+++ b/zone.go
@@ -0,0 +1,11 @@
+package lovageshift
+
+// Zone is an availability zone.
+type Zone struct {
+	ID        ZoneID `toml:"-"`
+	InService bool   `toml:"inService"`
+}
+
+func newZone(id ZoneID) *Zone { return &Zone{ID: id, InService: true} }
+
+func (z *Zone) validate(*Config) []Problem { return nil }
