--- a/agent/config.go
+++ b/agent/config.go
@@ -40,7 +40,7 @@
 	now := a.node.Now()
 	a.applyLimits(&config.Limits)
 	a.bound = gapBound(config)
-	a.applyMembers(config, now)
+	a.applyMembers(config)
 	a.applyShares(before, config, now)
 	if target := config.Targets[a.options.Target]; target != nil {
 		a.applyTarget(target)
@@ -65,20 +65,36 @@
 }
 
 // applyMembers records since when this agent keeps what the list of targets gives it.
-// An earlier owner may act for as long as it takes to notice that it cannot confirm its list.
-func (a *Agent) applyMembers(config *lovageshift.Config, now lovageshift.Millis) {
+func (a *Agent) applyMembers(config *lovageshift.Config) {
 	all := membership.AllTargets(config)
-	a.keepers.Activate(all, now+config.Limits.ConfirmMillis)
+	a.keepers.Activate(all, a.ownedSince(config))
 	a.keeper.Forget(func(account lovageshift.AccountID, share grant.Share) bool {
 		return grant.KeeperOf(account, share, all) == a.options.Target
 	})
 	self := config.Targets[a.options.Target]
 	if self != nil && self.Kind == lovageshift.KindService {
-		wall := a.options.Clock.Wall()
-		a.homes.Activate(membership.RouteTargets(config, self.Route), wall+config.Limits.ConfirmMillis)
+		a.homes.Activate(membership.RouteTargets(config, self.Route), a.ownedSince(config))
 	}
 }
 
+// ownedSince returns since when no owner under an earlier list can be acting: one that
+// cannot confirm its list stops after the limit. This run itself owns nothing earlier than its start.
+func (a *Agent) ownedSince(config *lovageshift.Config) lovageshift.Millis {
+	return max(a.node.ListSince()+config.Limits.ConfirmMillis, 1)
+}
+
+// improveTenure needs the lock; peers may have told since that they have had the list for longer.
+func (a *Agent) improveTenure() {
+	since := a.ownedSince(a.config)
+	a.keepers.Improve(since)
+	a.homes.Improve(since)
+}
+
+// wallOf returns the wall time of a time of this process.
+func (a *Agent) wallOf(at lovageshift.Millis) lovageshift.Millis {
+	return a.options.Clock.Wall() - a.node.Now() + at
+}
+
 // applyShares lets the shares of an account rest whose bucket is cut anew.
 func (a *Agent) applyShares(before, config *lovageshift.Config, now lovageshift.Millis) {
 	for id, settled := range a.moved {
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -214,6 +214,10 @@
 }
 
 func (a *Agent) checkSuspect(j *job) *lovageshift.Refusal {
+	if j.ticket.Alone {
+		// The entry may know of the first crash before this agent does.
+		a.node.LearnSuspects([]*wire.Suspect{{Fingerprint: j.start.Fingerprint, Crashes: 1}})
+	}
 	switch a.node.Judge(j.ticket.Fingerprint) {
 	case quarantine.Refused:
 		return lovageshift.NotRun(lovageshift.ReasonQuarantined, "this request has crashed its targets")
@@ -234,12 +238,13 @@
 		return nil, nil
 	}
 	key := j.idempotencyKey()
+	a.improveTenure()
 	since, owned := a.homes.Since(key.Home)
 	if !owned {
 		return nil, lovageshift.NotRun(lovageshift.ReasonMoved, "another agent is the key's home")
 	}
 	call := idempotency.Call{Key: key, Fingerprint: j.ticket.Fingerprint}
-	answer, refusal := a.ledger.Begin(a.options.Clock.Wall(), since, call)
+	answer, refusal := a.ledger.Begin(a.options.Clock.Wall(), a.wallOf(since), call)
 	j.begun = answer == nil && refusal == nil
 	return answer, refusal
 }
--- a/agent/lease.go
+++ b/agent/lease.go
@@ -63,6 +63,7 @@
 	if account == nil || ask.Share < 0 || int(ask.Share) >= grant.Shares(account, &a.config.Limits) {
 		return none
 	}
+	a.improveTenure()
 	since, kept := a.keepers.Since(func(members []lovageshift.TargetID) lovageshift.TargetID {
 		return grant.KeeperOf(ask.Account, ask.Share, members)
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,7 +63,8 @@
 
 	walletMutex sync.Mutex
 	wallet      *grant.Wallet
-	charging    [chargeStripes]sync.Mutex
+	// charging holds a place for each group of accounts of which one request at a time may ask keepers.
+	charging [chargeStripes]chan struct{}
 }
 
 // New returns an entry that is not running.
@@ -84,6 +85,9 @@
 		Peers:   e.peers,
 		Watches: func(*lovageshift.Config) bool { return false },
 	})
+	for i := range e.charging {
+		e.charging[i] = make(chan struct{}, 1)
+	}
 	e.wallet = grant.NewWallet(grant.Asker{Entry: options.ID, Incarnation: e.node.Incarnation})
 	return e
 }
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -37,9 +37,13 @@
 		return nil, lovageshift.NotRun(lovageshift.ReasonRateExceeded, "the request may use more tokens than the account's burst")
 	}
 	// Requests of one account ask one after the other, so that they share what a lease brings.
-	stripe := &e.charging[xxhash.Sum64String(string(account.ID))%chargeStripes]
-	stripe.Lock()
-	defer stripe.Unlock()
+	turn := e.charging[xxhash.Sum64String(string(account.ID))%chargeStripes]
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
+		return nil, lovageshift.NotRun(lovageshift.ReasonWithdrawn, "the caller left")
+	}
 	return e.ask(ctx, account, tokens)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,7 @@
 	crashRestart    = 2 * time.Second
 	readyPoll       = 10 * time.Millisecond
 	lingering       = 10 * time.Second
+	refill          = 15 * time.Second
 )
 
 // Fleet is a running system with its stand-ins.
@@ -68,8 +70,7 @@
 
 // Start brings the fleet up and waits until every entry is ready.
 func Start(spec Spec) *Fleet {
-	klog.LogToStderr(false)
-	klog.SetOutput(io.Discard)
+	quiet()
 	f := &Fleet{
 		Spec: spec, Network: NewNetwork(), Platform: standin.NewPlatform(),
 		Engines:  map[lovageshift.TargetID]*standin.Engine{},
@@ -99,6 +100,17 @@
 	return f
 }
 
+// quiet keeps the processes' logs out of what tests and measurements print.
+func quiet() {
+	flags := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for _, name := range []string{"logtostderr", "alsologtostderr"} {
+		_ = flags.Set(name, "false")
+	}
+	_ = flags.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(io.Discard)
+}
+
 func engineHost(id lovageshift.TargetID) string { return "engine/" + string(id) }
 
 func (f *Fleet) host(name, address string, handler http.Handler) *standin.Host {
@@ -269,7 +281,7 @@
 	_ = running.done.Wait()
 }
 
-// waitReady waits until every entry is linked with every agent and the keepers' rest is over.
+// waitReady waits until every entry is linked with every agent, the keepers' rest is over and buckets have filled.
 func (f *Fleet) waitReady() {
 	for _, running := range f.entry {
 		for !running.Ready() || !f.linked(running) {
@@ -277,7 +289,7 @@
 		}
 	}
 	limits := lovageshift.DefaultLimits()
-	time.Sleep((limits.ConfirmMillis + limits.LeaseMillis + limits.TransitMillis).Duration())
+	time.Sleep((limits.ConfirmMillis + limits.LeaseMillis + limits.TransitMillis).Duration() + refill)
 }
 
 func (f *Fleet) linked(running *EntryProcess) bool {
--- a/membership/tenure.go
+++ b/membership/tenure.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// Improve moves the newest list's beginning to an earlier time, when that has become known.
+func (t *Tenure) Improve(since lovageshift.Millis) {
+	if len(t.lists) > 0 {
+		newest := &t.lists[len(t.lists)-1]
+		newest.since = min(newest.since, since)
+	}
+}
+
 // Since returns since when this process has owned what owner gives it, and whether it does now.
 func (t *Tenure) Since(owner func([]lovageshift.TargetID) lovageshift.TargetID) (lovageshift.Millis, bool) {
 	var since lovageshift.Millis
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"lovageshift"
 	"lovageshift/folder"
 	"lovageshift/link"
+	"lovageshift/membership"
 	"lovageshift/metrics"
 	"lovageshift/quarantine"
 	"lovageshift/revision"
@@ -65,6 +67,9 @@
 	randomMutex sync.Mutex
 	fetches     chan Address
 	fetching    sync.Map
+	listMutex   sync.Mutex
+	listSince   lovageshift.Millis
+	listOf      *lovageshift.Config
 	ready       atomic.Bool
 	reads       atomic.Int64
 }
@@ -110,9 +115,32 @@
 		Revision:     int64(active.Config.Revision),
 		Hash:         active.Digest[:],
 		ConfirmedAgo: int64(n.Book.ConfirmedAgo(n.Now())),
+		ListAgo:      int64(n.Now() - n.ListSince()),
 	}
 }
 
+// ListSince returns since when, on this process's clock, the present list of targets has surely been published.
+func (n *Node) ListSince() lovageshift.Millis {
+	n.listMutex.Lock()
+	defer n.listMutex.Unlock()
+	config := n.Book.Config()
+	if config != n.listOf {
+		if n.listOf == nil || config == nil || !slices.Equal(membership.AllTargets(n.listOf), membership.AllTargets(config)) {
+			n.listSince = n.Now()
+		}
+		n.listOf = config
+	}
+	return n.listSince
+}
+
+// learnListAge takes in that a peer has had the same revision's list for longer.
+func (n *Node) learnListAge(ago lovageshift.Millis) {
+	known := n.ListSince()
+	n.listMutex.Lock()
+	defer n.listMutex.Unlock()
+	n.listSince = min(known, n.Now()-ago)
+}
+
 // Observe takes in another process's stamp, for a message that this process asked for at the time given.
 func (n *Node) Observe(from Address, stamp *wire.Stamp, askedAt lovageshift.Millis) {
 	if stamp == nil || stamp.Revision == 0 {
@@ -128,6 +156,9 @@
 		return
 	}
 	n.Book.Heard(from.ID, theirs, askedAt)
+	if theirs == ours {
+		n.learnListAge(lovageshift.Millis(stamp.ListAgo))
+	}
 	if theirs == ours && stamp.ConfirmedAgo >= 0 {
 		n.Book.Confirm(theirs, askedAt-lovageshift.Millis(stamp.ConfirmedAgo))
 	}
