Count as prompt work only what a target probably has to compute

Cause: agents reported queued prompts in full though prefixes were cached, so the home of a prefix looked loaded; a running limit that grew with every answer let gaps pass 30 ms.

--- a/admission/room.go
+++ b/admission/room.go
@@ -20,8 +20,10 @@
 	Account      lovageshift.AccountID
 	Rank         lovageshift.Rank
 	PromptTokens lovageshift.Tokens
-	OutputLimit  lovageshift.Tokens
-	Fingerprint  lovageshift.Fingerprint
+	// Compute is the part of the prompt that the target probably has to compute.
+	Compute     lovageshift.Tokens
+	OutputLimit lovageshift.Tokens
+	Fingerprint lovageshift.Fingerprint
 	// Deadline is when the first token is due, in milliseconds of the agent's clock.
 	Deadline lovageshift.Millis
 	// Alone keeps every other request out while this one runs.
@@ -153,7 +155,7 @@
 	}
 	var late []*Ticket
 	for _, ticket := range r.waiting {
-		if now+r.prefillTime(ticket.PromptTokens) > ticket.Deadline {
+		if now+r.prefillTime(ticket.Compute) > ticket.Deadline {
 			late = append(late, ticket)
 		}
 	}
@@ -168,8 +170,7 @@
 	if speed == 0 || r.warmth.Cold() {
 		return 0
 	}
-	// A cached prefix may spare most of the prompt, so only a part counts as certain.
-	return lovageshift.Millis(float64(prompt) / speed * 1000 / 4)
+	return lovageshift.Millis(float64(prompt) / speed * 1000)
 }
 
 // next returns the waiting ticket of the highest tier whose account has been served least.
@@ -214,7 +215,7 @@
 		return true
 	}
 	budget := lovageshift.Tokens(r.warmth.Speed() * prefillAheadMillis / 1000)
-	return r.prefilling+ticket.PromptTokens <= budget
+	return r.prefilling+ticket.Compute <= budget
 }
 
 func (r *Room) start(now lovageshift.Millis, ticket *Ticket) {
@@ -222,21 +223,20 @@
 	ticket.running = true
 	ticket.admitted = now
 	ticket.epoch = r.warmth.Epoch()
-	r.prefilling += ticket.PromptTokens
+	r.prefilling += ticket.Compute
 	ticket.ahead = r.prefilling
 	ticket.prefilling = true
 	r.running[ticket] = true
 	r.served[ticket.Account] += float64(ticket.PromptTokens)
 }
 
-// FirstToken records a running ticket's first token with the prompt tokens that the engine had cached, and reports whether it shows a cold engine.
-func (r *Room) FirstToken(now lovageshift.Millis, ticket *Ticket, cached lovageshift.Tokens) bool {
+// FirstToken records a running ticket's first token and reports whether it shows a cold engine.
+func (r *Room) FirstToken(now lovageshift.Millis, ticket *Ticket) bool {
 	if !ticket.prefilling {
 		return false
 	}
 	r.endPrefill(ticket)
-	ahead := max(ticket.ahead-cached, 0)
-	return r.warmth.FirstToken(ahead, now-ticket.admitted)
+	return r.warmth.FirstToken(ticket.ahead, now-ticket.admitted)
 }
 
 // Decoding returns how many requests run past their first token.
@@ -253,7 +253,7 @@
 func (r *Room) endPrefill(ticket *Ticket) {
 	if ticket.prefilling {
 		ticket.prefilling = false
-		r.prefilling -= ticket.PromptTokens
+		r.prefilling -= ticket.Compute
 	}
 }
 
@@ -306,7 +306,7 @@
 func (r *Room) QueuedPromptTokens() lovageshift.Tokens {
 	queued := r.prefilling
 	for _, ticket := range r.waiting {
-		queued += ticket.PromptTokens
+		queued += ticket.Compute
 	}
 	return queued
 }
--- a/admission/warmth.go
+++ b/admission/warmth.go
@@ -9,10 +9,14 @@
 	coldFactor      = 4
 	coldSlackMillis = 250
 	speedWeight     = 0.2
-	// Gaps above the limit shrink the number of running requests by this share.
-	gapBackoff    = 0.9
-	gapWeight     = 0.02
-	backoffMillis = 1000
+	// Gaps near the bound shrink the number of running requests by this share.
+	gapBackoff = 0.93
+	gapWeight  = 0.4
+	gapWindow  = 250 // milliseconds
+	// Shares of the bound above which the limit shrinks and below which it may grow.
+	gapCeiling = 0.9
+	gapFloor   = 0.8
+	gapGrowth  = 0.25
 )
 
 // Epoch numbers the warm-ups of a target; work admitted in an earlier one proves nothing.
@@ -20,14 +24,18 @@
 
 // Warmth is how many requests at once a target bears.
 type Warmth struct {
-	cold, most  int
-	limit       float64
-	epoch       Epoch
-	engine      string
-	speed       float64 // prompt tokens per millisecond
-	gap         float64 // milliseconds between tokens
-	warming     bool
-	lastBackoff lovageshift.Millis
+	cold, most int
+	limit      float64
+	epoch      Epoch
+	engine     string
+	speed      float64 // prompt tokens per millisecond
+	gap        float64 // milliseconds between tokens
+	warming    bool
+
+	// The gaps of the present window.
+	bound            float64
+	gapSum, gapCount float64
+	gapStart         lovageshift.Millis
 }
 
 // NewWarmth returns a cold target that bears cold requests now and at most most.
@@ -99,20 +107,34 @@
 	if epoch != w.epoch {
 		return
 	}
-	w.limit = min(w.limit+1, float64(w.most))
+	growth := 1.0
+	if !w.warming {
+		growth = gapGrowth
+	}
+	if w.bound > 0 && w.gap > gapFloor*w.bound {
+		return
+	}
+	w.limit = min(w.limit+growth, float64(w.most))
 	if w.limit >= float64(w.most) {
 		w.warming = false
 	}
 }
 
-// Gap records the milliseconds between two tokens of one answer and shrinks the limit while their mean exceeds the bound.
+// Gap records the milliseconds between two tokens of one answer. Their mean over a short window
+// steers the limit: it shrinks near the bound and grows again, with whole answers, well below it.
 func (w *Warmth) Gap(now lovageshift.Millis, gap float64, bound lovageshift.Millis) {
-	w.gap = blend(w.gap, gap, gapWeight)
-	if bound <= 0 || w.gap <= float64(bound) || now-w.lastBackoff < backoffMillis {
+	w.gapSum += gap
+	w.gapCount++
+	if now-w.gapStart < gapWindow {
 		return
 	}
-	w.lastBackoff = now
-	w.limit = max(w.limit*gapBackoff, float64(w.cold))
+	w.gap = blend(w.gap, w.gapSum/w.gapCount, gapWeight)
+	w.gapSum, w.gapCount, w.gapStart = 0, 0, now
+	w.bound = float64(bound)
+	if w.bound > 0 && w.gap > gapCeiling*w.bound {
+		w.limit = max(w.limit*gapBackoff, float64(w.cold))
+		w.warming = false
+	}
 }
 
 func blend(old, latest, weight float64) float64 {
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -97,6 +97,7 @@
 		Account:      lovageshift.AccountID(start.Account),
 		Rank:         lovageshift.Rank(start.Rank),
 		PromptTokens: lovageshift.Tokens(start.PromptTokens),
+		Compute:      lovageshift.Tokens(start.ComputeTokens),
 		OutputLimit:  lovageshift.Tokens(start.OutputLimit),
 		Fingerprint:  lovageshift.Fingerprint(start.Fingerprint),
 		Deadline:     now + lovageshift.Millis(start.FirstTokenBudget),
--- a/agent/run.go
+++ b/agent/run.go
@@ -163,7 +163,7 @@
 func (a *Agent) firstToken(j *job) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.room.FirstToken(a.node.Now(), j.ticket, j.usage.cached) {
+	if a.room.FirstToken(a.node.Now(), j.ticket) {
 		a.options.Metrics.Add(metrics.ColdStarts, "slowPrefill", 1)
 		a.notify()
 	}
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -74,7 +74,7 @@
 	tier := config.Tiers[who.account.Tier]
 	now := e.node.Now()
 	job.account, job.key, job.rank = who.account, who.key.ID, tier.Rank
-	job.request.Rank, job.request.GapLimit = tier.Rank, tier.BetweenTokensMillis
+	job.request.Rank = tier.Rank
 	job.method, job.path, job.stream = r.Method, r.URL.Path, ask.Stream
 	job.headers = passedHeaders(r, who.secret)
 	job.firstToken = now + tier.FirstTokenMillis
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -59,6 +59,8 @@
 	asked []lovageshift.TargetID
 	moves int
 	alone bool
+	// compute is the prompt tokens that the chosen target probably has to compute.
+	compute lovageshift.Tokens
 	used  lovageshift.Tokens
 	began bool // the answer's head has gone out
 }
@@ -152,6 +154,7 @@
 		key := idempotency.Key{Account: w.accountID(), Text: w.idempotencyKey}
 		candidates = []lovageshift.TargetID{key.Home(membership.RouteTargets(config, w.route.ID))}
 	}
+	w.request.Home = routing.HomeOf(candidates, w.request)
 	fit := candidates[:0:0]
 	for _, id := range candidates {
 		_, takes := e.board.Takes(id)
@@ -235,6 +238,7 @@
 		return lovageshift.NotRun(lovageshift.ReasonAgentUnreachable, "the agent is no longer linked")
 	}
 	lost := known.lost
+	w.compute = e.board.Compute(target.ID, w.request)
 	e.board.Sent(e.node.Now(), target.ID, w.request)
 	e.mutex.Unlock()
 
@@ -340,7 +344,7 @@
 		SentAt: int64(now), Target: string(target.ID), TargetIncarnation: int64(incarnation), Stamp: e.node.Stamp(),
 		Account: string(w.accountID()), Key: string(w.key), Rank: int32(w.rank),
 		Method: w.method, Path: w.path, Headers: w.headers, Body: w.body, Stream: w.stream,
-		PromptTokens: int64(w.request.Prompt), OutputLimit: int64(w.request.Output),
+		PromptTokens: int64(w.request.Prompt), ComputeTokens: int64(w.compute), OutputLimit: int64(w.request.Output),
 		FirstTokenBudget: int64(w.firstToken - now), TotalBudget: int64(w.deadline - now),
 		Fingerprint: uint64(w.fingerprint), Alone: w.alone, IdempotencyKey: w.idempotencyKey,
 	}
@@ -397,6 +401,9 @@
 		if e.links[target] != nil {
 			e.board.Report(e.node.Now(), target, loadOf(end.Load))
 		}
+		if end.PromptTokens > 0 && end.CachedTokens == 0 {
+			e.board.Missed(target, w.request)
+		}
 		e.mutex.Unlock()
 	}
 	outcome := lovageshift.Outcome(end.Outcome)
--- a/routing/board.go
+++ b/routing/board.go
@@ -12,10 +12,11 @@
 	defaultSpeed     = 5000.0 // prompt tokens a second
 	defaultHold      = 1000.0 // milliseconds
 	prefixesATarget  = 1024
+	prefixesSeen     = 4096
 	reportDelay      = 5 // milliseconds that a report may be on its way
 	failureHalfLife  = 5000.0
 	failurePenalty   = 1000.0
-	answerTokens     = 64
+	answerTokens     = 16
 	doubtfulHitShare = 2
 )
 
@@ -42,7 +43,8 @@
 	Output      lovageshift.Tokens
 	Prefixes    []Prefix
 	BlockTokens lovageshift.Tokens
-	GapLimit    lovageshift.Millis
+	// Home is where every entry puts the prompt's beginning while that target is not loaded.
+	Home lovageshift.TargetID
 }
 
 // Prefix is the hash of a prompt's beginning up to the end of one block.
@@ -51,6 +53,8 @@
 // Board is what one entry knows of its targets.
 type Board struct {
 	views map[lovageshift.TargetID]*view
+	// seen holds the beginnings that this entry has met, at whichever target.
+	seen *simplelru.LRU[Prefix, struct{}]
 }
 
 type view struct {
@@ -70,7 +74,10 @@
 }
 
 // NewBoard returns a board that knows no target.
-func NewBoard() *Board { return &Board{views: map[lovageshift.TargetID]*view{}} }
+func NewBoard() *Board {
+	seen, _ := simplelru.NewLRU[Prefix, struct{}](prefixesSeen, nil)
+	return &Board{views: map[lovageshift.TargetID]*view{}, seen: seen}
+}
 
 func (b *Board) viewOf(id lovageshift.TargetID) *view {
 	v := b.views[id]
@@ -120,9 +127,10 @@
 func (b *Board) Sent(now lovageshift.Millis, id lovageshift.TargetID, request Request) {
 	v := b.viewOf(id)
 	v.outstanding++
-	v.unreported = append(v.unreported, sent{now, b.uncached(v, request)})
+	v.unreported = append(v.unreported, sent{now, b.Compute(id, request)})
 	for _, prefix := range request.Prefixes {
 		v.prefixes.Add(prefix, v.load.CacheEpoch)
+		b.seen.Add(prefix, struct{}{})
 	}
 }
 
@@ -146,16 +154,54 @@
 // Outstanding returns how many dispatches of this entry the target has.
 func (b *Board) Outstanding(id lovageshift.TargetID) int { return b.viewOf(id).outstanding }
 
-// Estimate returns the milliseconds until the request's first tokens would be there.
+// Compute returns the prompt tokens that the target probably has to compute.
+func (b *Board) Compute(id lovageshift.TargetID, request Request) lovageshift.Tokens {
+	uncached := b.viewOf(id).uncached(request)
+	if id != request.Home {
+		return uncached
+	}
+	// What any entry has met before is probably cached at its home.
+	shared := lovageshift.Tokens(0)
+	for _, prefix := range request.Prefixes {
+		if !b.seen.Contains(prefix) {
+			break
+		}
+		shared += request.BlockTokens
+	}
+	return min(uncached, max(request.Prompt-shared, 0))
+}
+
+// Missed records that the target had nothing of the prompt cached.
+func (b *Board) Missed(id lovageshift.TargetID, request Request) {
+	v := b.viewOf(id)
+	for _, prefix := range request.Prefixes {
+		v.prefixes.Remove(prefix)
+	}
+}
+
+// Estimate returns the milliseconds until the request's first tokens would be there, with what it costs others.
 func (b *Board) Estimate(now lovageshift.Millis, id lovageshift.TargetID, request Request) float64 {
 	v := b.viewOf(id)
+	uncached := b.Compute(id, request)
 	cost := v.slotWait(request.Rank)
-	cost += b.prefill(v, request)
+	cost += v.prefill(uncached)
 	cost += v.load.Gap * float64(min(request.Output, answerTokens))
+	cost += v.crowding(uncached)
 	cost += v.failuresAt(now) * failurePenalty
 	return cost
 }
 
+// crowding is what the request costs others: each running answer pauses while the prompt is
+// computed, and gaps grow with the share of places taken.
+func (v *view) crowding(uncached lovageshift.Tokens) float64 {
+	running := float64(v.load.Running + len(v.unreported))
+	taken := running / float64(max(v.load.Limit, 1))
+	pause := float64(uncached) / v.speed() * 1000
+	return PauseShare*running*pause + CrowdingMillis*taken*taken
+}
+
+var PauseShare, CrowdingMillis = 0.1, 500.0
+
 // slotWait estimates the wait for a place behind what is as urgent.
 func (v *view) slotWait(rank lovageshift.Rank) float64 {
 	ahead := len(v.unreported)
@@ -176,20 +222,23 @@
 	return float64(ahead-free+1) * hold / float64(limit)
 }
 
-func (b *Board) prefill(v *view, request Request) float64 {
-	speed := v.load.Speed
-	if speed == 0 {
-		speed = defaultSpeed
-	}
-	tokens := v.load.QueuedPrompt + b.uncached(v, request)
+func (v *view) prefill(uncached lovageshift.Tokens) float64 {
+	tokens := v.load.QueuedPrompt + uncached
 	for _, one := range v.unreported {
 		tokens += one.prompt
 	}
-	return float64(tokens) / speed * 1000
+	return float64(tokens) / v.speed() * 1000
+}
+
+func (v *view) speed() float64 {
+	if v.load.Speed == 0 {
+		return defaultSpeed
+	}
+	return v.load.Speed
 }
 
 // uncached returns the prompt tokens that the target probably has to compute.
-func (b *Board) uncached(v *view, request Request) lovageshift.Tokens {
+func (v *view) uncached(request Request) lovageshift.Tokens {
 	hit := lovageshift.Tokens(0)
 	for _, prefix := range request.Prefixes {
 		epoch, known := v.prefixes.Peek(prefix)
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 
 	"lovageshift"
@@ -13,7 +14,6 @@
 	compareAll   = 16
 	sampleSize   = 8
 	nearMillis   = 10.0
-	nearShare    = 1.05
 	homeBlocks   = 4
 	homeDiscount = 0.5
 )
@@ -30,19 +30,18 @@
 // Pick implements Policy.
 func (Estimate) Pick(now lovageshift.Millis, board *Board, fit []lovageshift.TargetID, request Request, random *rand.Rand) lovageshift.TargetID {
 	candidates := sample(board, fit, request, random)
-	home := homeOf(board, fit, request)
 	costs := make([]float64, len(candidates))
 	best := 0
 	for i, id := range candidates {
 		costs[i] = board.Estimate(now, id, request)
-		if id == home {
+		if id == request.Home {
 			costs[i] -= discount(board, id, request)
 		}
 		if costs[i] < costs[best] {
 			best = i
 		}
 	}
-	bound := max(costs[best]*nearShare, costs[best]+nearMillis)
+	bound := costs[best] + nearMillis
 	near := candidates[:0]
 	for i, id := range candidates {
 		if costs[i] <= bound {
@@ -63,33 +62,30 @@
 			chosen = append(chosen, id)
 		}
 	}
+	if slices.Contains(fit, request.Home) {
+		chosen = append(chosen, request.Home)
+	}
 	for range sampleSize {
 		chosen = append(chosen, fit[random.IntN(len(fit))])
 	}
 	return chosen
 }
 
-// homeOf returns the target where every entry puts a beginning that none has seen before.
-func homeOf(board *Board, fit []lovageshift.TargetID, request Request) lovageshift.TargetID {
+// HomeOf returns the target, out of those that could run the request, where every entry puts the prompt's beginning.
+func HomeOf(candidates []lovageshift.TargetID, request Request) lovageshift.TargetID {
 	if len(request.Prefixes) == 0 {
 		return ""
 	}
-	for _, id := range fit {
-		if board.knows(id, request) {
-			return ""
-		}
-	}
-	return membership.Owner("prefix/"+strconv.FormatUint(uint64(request.Prefixes[0]), 16), fit)
+	return membership.Owner("prefix/"+strconv.FormatUint(uint64(request.Prefixes[0]), 16), candidates)
 }
 
-// discount is the time that other entries' use of the same beginning may have saved.
+// discount prefers the home of a beginning that nobody may have met yet, so that all meet it there.
 func discount(board *Board, id lovageshift.TargetID, request Request) float64 {
-	speed := board.viewOf(id).load.Speed
-	if speed == 0 {
-		speed = defaultSpeed
+	if board.seen.Contains(request.Prefixes[0]) {
+		return 0
 	}
 	blocks := lovageshift.Tokens(min(len(request.Prefixes), homeBlocks))
-	return homeDiscount * float64(blocks*request.BlockTokens) / speed * 1000
+	return homeDiscount * float64(blocks*request.BlockTokens) / board.viewOf(id).speed() * 1000
 }
 
 // RoundRobin takes the fit targets in turn.
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -9,6 +9,7 @@
 	order   *list.List
 	added   uint64
 	evicted uint64
+	changed func(block uint64, held bool)
 }
 
 func newPrefixCache(room int) *prefixCache {
@@ -35,11 +36,13 @@
 		}
 		c.blocks[block] = c.order.PushBack(block)
 		c.added++
+		c.changed(block, true)
 	}
 	for c.order.Len() > c.room {
 		oldest := c.order.Front()
 		delete(c.blocks, oldest.Value.(uint64))
 		c.order.Remove(oldest)
 		c.evicted++
+		c.changed(oldest.Value.(uint64), false)
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lovageshift"
 	"lovageshift/engine"
 )
@@ -37,6 +34,14 @@
 	StoreLoads       int // orders the weight store serves a second; 0 for no limit
 }
 
+// comfortableGap is the milliseconds between tokens that the users' limits allow.
+const comfortableGap = 30
+
+// Comfortable returns how many requests at once keep the gap between tokens within the users' limit.
+func (p Profile) Comfortable() int {
+	return min(int((comfortableGap-p.StepMillis)/p.StepPerRunning), p.MaxBatch)
+}
+
 // FastProfile is the newer hardware generation.
 func FastProfile() Profile {
 	return Profile{
@@ -63,6 +68,7 @@
 	PromptTokens    lovageshift.Tokens // computed, without cached ones
 	CachedTokens    lovageshift.Tokens
 	LostPrefill     lovageshift.Tokens // computed for answers that nobody got whole
+	Recomputed      lovageshift.Tokens // computed though an unloaded other engine had them cached
 	OutputTokens    lovageshift.Tokens
 	ColdOverloads   int
 	Crashes         int
@@ -110,7 +116,7 @@
 	lastLoad    time.Time
 	streams     map[string]*sequence
 	crash       func()
-	random      *rand.Rand
+	registry    *Registry
 }
 
 // Fault is a way to answer wrongly.
@@ -132,7 +138,6 @@
 	e := &Engine{
 		name: name, profile: profile, slow: 1, stopped: context.Background(),
 		streams: map[string]*sequence{}, crash: func() {},
-		random: rand.New(rand.NewPCG(xxhash.Sum64String(name), 1)),
 	}
 	e.restart()
 	return e
@@ -142,7 +147,7 @@
 func (e *Engine) restart() {
 	e.incarnation++
 	e.batch, e.queue = nil, nil
-	e.cache = newPrefixCache(e.profile.CacheBlocks)
+	e.emptyCache()
 	e.cold = e.profile.ColdLimit > 0
 	e.sinceCold = 0
 	clear(e.streams)
@@ -153,7 +158,20 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.cold, e.sinceCold = true, 0
+	e.emptyCache()
+}
+
+func (e *Engine) emptyCache() {
+	e.registry.forget(e.name)
 	e.cache = newPrefixCache(e.profile.CacheBlocks)
+	e.cache.changed = func(block uint64, held bool) { e.registry.note(e.name, block, held) }
+}
+
+// Register lets the engine's registry compare its cache with those of others.
+func (e *Engine) Register(registry *Registry) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.registry = registry
 }
 
 // Warm makes the engine warm at once.
@@ -246,6 +264,7 @@
 	}
 	if len(e.batch) == 0 {
 		e.stepping = false
+		e.registry.load(e.name, false)
 		return
 	}
 	incarnation := e.incarnation
@@ -257,8 +276,11 @@
 }
 
 func (e *Engine) admit(seq *sequence) {
-	seq.cached = min(lovageshift.Tokens(e.cache.hits(seq.blocks)*blockTokens), seq.prompt-1)
+	hits := e.cache.hits(seq.blocks)
+	seq.cached = min(lovageshift.Tokens(hits*blockTokens), seq.prompt-1)
 	seq.computed = seq.cached
+	e.registry.load(e.name, 2*(len(e.batch)+len(e.queue)) > e.profile.Comfortable())
+	e.stats.Recomputed += lovageshift.Tokens(max(e.registry.bestElsewhere(e.name, seq.blocks)-hits, 0) * blockTokens)
 	e.batch = append(e.batch, seq)
 	e.stats.CachedTokens += seq.cached
 }
