Weigh in a target's cost what a request costs others

Change: speed is measured on prompts computed alone, from the engine's own count; an idle target gets the benefit of the doubt; a prefill weighs the pause of every running answer, a full target more than an empty one; a running limit grows slowly near the bound on gaps.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -182,7 +182,7 @@
 	Convey("A warm target whose first token comes far too late is cold", t, func() {
 		warmth := admission.NewWarmth(1, 2)
 		warmth.Completed(warmth.Epoch())
-		warmth.FirstToken(1000, 100)
+		warmth.Computed(1000, 100)
 		So(warmth.Cold(), ShouldBeFalse)
 		So(warmth.FirstToken(1000, 2_000), ShouldBeTrue)
 		So(warmth.Limit(), ShouldEqual, 1)
--- a/admission/room.go
+++ b/admission/room.go
@@ -32,7 +32,9 @@
 	arrived    lovageshift.Millis
 	admitted   lovageshift.Millis
 	epoch      Epoch
-	ahead      lovageshift.Tokens
+	ahead      lovageshift.Tokens // prompt tokens in prefill up to this one's, cached or not
+	first      lovageshift.Millis
+	lone       bool // no other prompt was in prefill meanwhile
 	prefilling bool
 	running    bool
 	waiting    bool
@@ -50,7 +52,8 @@
 	maxWaiting int
 	waiting    []*Ticket
 	running    map[*Ticket]bool
-	prefilling lovageshift.Tokens
+	prefilling lovageshift.Tokens // to be computed
+	inPrefill  lovageshift.Tokens // cached or not
 	served     map[lovageshift.AccountID]float64
 	floor      float64
 	hold       float64 // milliseconds a request runs
@@ -61,6 +64,8 @@
 type Result struct {
 	Whole        bool
 	OutputTokens lovageshift.Tokens
+	// Computed is the prompt tokens that the target says it computed, or 0 when it does not say.
+	Computed lovageshift.Tokens
 }
 
 // NewRoom returns an empty room before a target of the warmth given.
@@ -223,8 +228,13 @@
 	ticket.running = true
 	ticket.admitted = now
 	ticket.epoch = r.warmth.Epoch()
+	ticket.lone = r.inPrefill == 0
+	if !ticket.lone {
+		r.crowdPrefill()
+	}
 	r.prefilling += ticket.Compute
-	ticket.ahead = r.prefilling
+	r.inPrefill += ticket.PromptTokens
+	ticket.ahead = r.inPrefill
 	ticket.prefilling = true
 	r.running[ticket] = true
 	r.served[ticket.Account] += float64(ticket.PromptTokens)
@@ -236,6 +246,7 @@
 		return false
 	}
 	r.endPrefill(ticket)
+	ticket.first = now
 	return r.warmth.FirstToken(ticket.ahead, now-ticket.admitted)
 }
 
@@ -250,10 +261,20 @@
 	return decoding
 }
 
+// crowdPrefill marks the prompts in prefill as not alone any more.
+func (r *Room) crowdPrefill() {
+	for ticket := range r.running {
+		if ticket.prefilling {
+			ticket.lone = false
+		}
+	}
+}
+
 func (r *Room) endPrefill(ticket *Ticket) {
 	if ticket.prefilling {
 		ticket.prefilling = false
 		r.prefilling -= ticket.Compute
+		r.inPrefill -= ticket.PromptTokens
 	}
 }
 
@@ -269,6 +290,9 @@
 	if result.Whole {
 		r.hold = blend(r.hold, float64(now-ticket.admitted), holdWeight)
 		r.warmth.Completed(ticket.epoch)
+		if ticket.lone && ticket.first > 0 {
+			r.warmth.Computed(result.Computed, ticket.first-ticket.admitted)
+		}
 	}
 	r.trimCounters()
 }
--- a/admission/warmth.go
+++ b/admission/warmth.go
@@ -8,14 +8,16 @@
 	// A first token this many times later than expected marks a cold engine.
 	coldFactor      = 4
 	coldSlackMillis = 250
-	speedWeight     = 0.2
+	speedWeight     = 0.4
+	speedTokens     = 128
 	// Gaps near the bound shrink the number of running requests by this share.
 	gapBackoff = 0.93
 	gapWeight  = 0.4
 	gapWindow  = 250 // milliseconds
 	// Shares of the bound above which the limit shrinks and below which it may grow.
-	gapCeiling = 0.9
-	gapFloor   = 0.8
+	gapCeiling = 0.88
+	gapFloor   = 0.78
+	gapEase    = 0.45
 	gapGrowth  = 0.25
 )
 
@@ -86,20 +88,27 @@
 	return true
 }
 
-// FirstToken records a first token after elapsed milliseconds with ahead uncached prompt tokens to compute before it, and reports whether it shows a cold engine.
+// FirstToken records a first token after elapsed milliseconds with at most ahead prompt tokens to compute before it, and reports whether it shows a cold engine.
 func (w *Warmth) FirstToken(ahead lovageshift.Tokens, elapsed lovageshift.Millis) bool {
-	elapsed = max(elapsed, 1)
-	if w.speed > 0 && !w.warming {
-		expected := float64(ahead)/w.speed + w.gap
-		if float64(elapsed) > coldFactor*expected+coldSlackMillis {
-			w.Chill()
-			return true
-		}
+	if w.speed == 0 || w.warming {
+		return false
 	}
-	if ahead > 0 {
-		w.speed = blend(w.speed, float64(ahead)/float64(elapsed), speedWeight)
+	expected := float64(ahead)/w.speed + w.gap
+	if float64(elapsed) <= coldFactor*expected+coldSlackMillis {
+		return false
 	}
-	return false
+	w.Chill()
+	return true
+}
+
+// Computed records that the target computed prompt tokens for one request alone in the milliseconds until its first token.
+func (w *Warmth) Computed(tokens lovageshift.Tokens, elapsed lovageshift.Millis) {
+	// A short prompt's time is mostly the step that it joins, and says little of the speed.
+	if tokens < speedTokens {
+		return
+	}
+	computing := max(float64(elapsed)-w.gap, 1)
+	w.speed = blend(w.speed, float64(tokens)/computing, speedWeight)
 }
 
 // Completed raises the limit by one for a whole answer that was admitted in the present warm-up.
@@ -108,11 +117,11 @@
 		return
 	}
 	growth := 1.0
-	if !w.warming {
-		growth = gapGrowth
-	}
-	if w.bound > 0 && w.gap > gapFloor*w.bound {
+	switch {
+	case w.bound > 0 && w.gap > gapFloor*w.bound:
 		return
+	case w.bound > 0 && w.gap > gapEase*w.bound:
+		growth = gapGrowth
 	}
 	w.limit = min(w.limit+growth, float64(w.most))
 	if w.limit >= float64(w.most) {
@@ -121,7 +130,7 @@
 }
 
 // Gap records the milliseconds between two tokens of one answer. Their mean over a short window
-// steers the limit: it shrinks near the bound and grows again, with whole answers, well below it.
+// steers the limit: it shrinks near the bound and grows, with whole answers, below it.
 func (w *Warmth) Gap(now lovageshift.Millis, gap float64, bound lovageshift.Millis) {
 	w.gapSum += gap
 	w.gapCount++
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -302,7 +302,9 @@
 	defer a.mutex.Unlock()
 	whole := refusal == nil
 	a.room.Withdraw(j.ticket)
-	a.room.Finish(a.node.Now(), j.ticket, admission.Result{Whole: whole, OutputTokens: j.usage.output})
+	a.room.Finish(a.node.Now(), j.ticket, admission.Result{
+		Whole: whole, OutputTokens: j.usage.output, Computed: j.usage.prompt - j.usage.cached,
+	})
 	delete(a.jobs, j.ticket)
 	if refusal != nil && refusal.Outcome == lovageshift.OutcomeNotRun {
 		a.abandon(j)
--- a/agent/status.go
+++ b/agent/status.go
@@ -23,6 +23,8 @@
 	EngineDown   bool                 `json:"engineDown"`
 	Cold         bool                 `json:"cold"`
 	Limit        int                  `json:"limit"`
+	GapMillis    float64              `json:"gapMillis"`
+	Speed        float64              `json:"prefillTokensPerSecond"`
 	Running      int                  `json:"running"`
 	Waiting      int                  `json:"waiting"`
 	Shares       int                  `json:"sharesInUse"`
@@ -39,6 +41,7 @@
 		Process: string(a.options.Target), Trust: a.node.Trust().String(),
 		ConfirmedAgo: a.node.Book.ConfirmedAgo(a.node.Now()), SourceReads: a.node.Reads(),
 		Leaving: a.stopping, EngineDown: a.down, Cold: a.warmth.Cold(), Limit: a.warmth.Limit(),
+		GapMillis: a.gap(), Speed: a.warmth.Speed(),
 		Running: a.room.Running(), Waiting: len(a.room.Waiting()),
 		Shares: a.keeper.Buckets(), Calls: a.ledger.Len(),
 		Refusals: a.options.Metrics.Counts(metrics.Refusals), Retries: a.options.Metrics.Counts(metrics.Retries),
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -61,8 +61,8 @@
 	alone bool
 	// compute is the prompt tokens that the chosen target probably has to compute.
 	compute lovageshift.Tokens
-	used  lovageshift.Tokens
-	began bool // the answer's head has gone out
+	used    lovageshift.Tokens
+	began   bool // the answer's head has gone out
 }
 
 func (w *work) accountID() lovageshift.AccountID {
--- a/routing/board.go
+++ b/routing/board.go
@@ -18,6 +18,10 @@
 	failurePenalty   = 1000.0
 	answerTokens     = 16
 	doubtfulHitShare = 2
+	// What a pause of each running answer weighs against the request's own wait.
+	pauseShare = 2.0
+	// What a full target weighs against an empty one, in milliseconds.
+	crowdingMillis = 1500.0
 )
 
 // Load is what an agent last said of its target.
@@ -185,7 +189,7 @@
 	uncached := b.Compute(id, request)
 	cost := v.slotWait(request.Rank)
 	cost += v.prefill(uncached)
-	cost += v.load.Gap * float64(min(request.Output, answerTokens))
+	cost += v.gap() * float64(min(request.Output, answerTokens))
 	cost += v.crowding(uncached)
 	cost += v.failuresAt(now) * failurePenalty
 	return cost
@@ -197,11 +201,9 @@
 	running := float64(v.load.Running + len(v.unreported))
 	taken := running / float64(max(v.load.Limit, 1))
 	pause := float64(uncached) / v.speed() * 1000
-	return PauseShare*running*pause + CrowdingMillis*taken*taken
+	return pauseShare*running*pause + crowdingMillis*taken*taken
 }
 
-var PauseShare, CrowdingMillis = 0.1, 500.0
-
 // slotWait estimates the wait for a place behind what is as urgent.
 func (v *view) slotWait(rank lovageshift.Rank) float64 {
 	ahead := len(v.unreported)
@@ -230,13 +232,25 @@
 	return float64(tokens) / v.speed() * 1000
 }
 
+// speed is the measured prompt tokens a second. An idle target is given the benefit of the
+// doubt, since only work can show that a slow time has passed.
 func (v *view) speed() float64 {
-	if v.load.Speed == 0 {
-		return defaultSpeed
+	if v.load.Speed == 0 || v.idle() {
+		return max(v.load.Speed, defaultSpeed)
 	}
 	return v.load.Speed
 }
 
+func (v *view) idle() bool { return v.load.Running == 0 && len(v.unreported) == 0 }
+
+// gap is the milliseconds between tokens; that of an idle target is an old one.
+func (v *view) gap() float64 {
+	if v.idle() {
+		return 0
+	}
+	return v.load.Gap
+}
+
 // uncached returns the prompt tokens that the target probably has to compute.
 func (v *view) uncached(request Request) lovageshift.Tokens {
 	hit := lovageshift.Tokens(0)
