Steer running requests by gaps per time, and prove warmth apart from it

Cause: the running limit grew with whole answers only, so an engine that had once fallen to 2 answered too little to grow again. Change: what is proven since a cold start and what keeps the gaps are two numbers; the second moves every 250 ms while it is in use.

--- a/admission/warmth.go
+++ b/admission/warmth.go
@@ -10,15 +10,14 @@
 	coldSlackMillis = 250
 	speedWeight     = 0.4
 	speedTokens     = 128
-	// Gaps near the bound shrink the number of running requests by this share.
+	// Gaps near the bound shrink the number of running requests to this share.
 	gapBackoff = 0.93
 	gapWeight  = 0.4
 	gapWindow  = 250 // milliseconds
 	// Shares of the bound above which the limit shrinks and below which it may grow.
 	gapCeiling = 0.88
 	gapFloor   = 0.78
-	gapEase    = 0.45
-	gapGrowth  = 0.25
+	gapGrowth  = 0.5 // requests a window
 )
 
 // Epoch numbers the warm-ups of a target; work admitted in an earlier one proves nothing.
@@ -27,7 +26,8 @@
 // Warmth is how many requests at once a target bears.
 type Warmth struct {
 	cold, most int
-	limit      float64
+	proven     int     // requests at once that the present warm-up has shown it to bear
+	steer      float64 // requests at once that keep the gaps between tokens
 	epoch      Epoch
 	engine     string
 	speed      float64 // prompt tokens per millisecond
@@ -35,24 +35,26 @@
 	warming    bool
 
 	// The gaps of the present window.
-	bound            float64
 	gapSum, gapCount float64
 	gapStart         lovageshift.Millis
 }
 
 // NewWarmth returns a cold target that bears cold requests now and at most most.
 func NewWarmth(cold, most int) *Warmth {
-	return &Warmth{cold: cold, most: most, limit: float64(cold), warming: true}
+	return &Warmth{cold: cold, most: most, proven: cold, steer: float64(most), warming: true}
 }
 
 // SetBounds changes the cold limit and the most requests, counted in requests.
 func (w *Warmth) SetBounds(cold, most int) {
+	if most != w.most {
+		w.steer = float64(most)
+	}
 	w.cold, w.most = cold, most
-	w.limit = max(min(w.limit, float64(most)), float64(cold))
+	w.proven = min(max(w.proven, cold), most)
 }
 
 // Limit returns how many requests may run at once.
-func (w *Warmth) Limit() int { return int(w.limit) }
+func (w *Warmth) Limit() int { return max(min(w.proven, int(w.steer)), w.cold) }
 
 // Epoch returns the present warm-up.
 func (w *Warmth) Epoch() Epoch { return w.epoch }
@@ -68,7 +70,7 @@
 
 // Chill falls back to the cold limit and begins a new warm-up.
 func (w *Warmth) Chill() {
-	w.limit = float64(w.cold)
+	w.proven = w.cold
 	w.warming = true
 	w.epoch++
 	w.speed = 0
@@ -116,22 +118,15 @@
 	if epoch != w.epoch {
 		return
 	}
-	growth := 1.0
-	switch {
-	case w.bound > 0 && w.gap > gapFloor*w.bound:
-		return
-	case w.bound > 0 && w.gap > gapEase*w.bound:
-		growth = gapGrowth
-	}
-	w.limit = min(w.limit+growth, float64(w.most))
-	if w.limit >= float64(w.most) {
+	w.proven = min(w.proven+1, w.most)
+	if w.proven == w.most {
 		w.warming = false
 	}
 }
 
-// Gap records the milliseconds between two tokens of one answer. Their mean over a short window
-// steers the limit: it shrinks near the bound and grows, with whole answers, below it.
-func (w *Warmth) Gap(now lovageshift.Millis, gap float64, bound lovageshift.Millis) {
+// Gap records the milliseconds between two tokens of one answer while so many requests run. The mean over
+// a short window steers the limit: down near the bound, and up below it while the limit is in use.
+func (w *Warmth) Gap(now lovageshift.Millis, gap float64, bound lovageshift.Millis, running int) {
 	w.gapSum += gap
 	w.gapCount++
 	if now-w.gapStart < gapWindow {
@@ -139,10 +134,12 @@
 	}
 	w.gap = blend(w.gap, w.gapSum/w.gapCount, gapWeight)
 	w.gapSum, w.gapCount, w.gapStart = 0, 0, now
-	w.bound = float64(bound)
-	if w.bound > 0 && w.gap > gapCeiling*w.bound {
-		w.limit = max(w.limit*gapBackoff, float64(w.cold))
-		w.warming = false
+	switch {
+	case bound <= 0:
+	case w.gap > gapCeiling*float64(bound):
+		w.steer = max(min(w.steer, float64(running))*gapBackoff, float64(w.cold))
+	case w.gap < gapFloor*float64(bound) && running >= w.Limit():
+		w.steer = min(w.steer+gapGrowth, float64(w.most))
 	}
 }
 
