--- a/agent/run.go
+++ b/agent/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"lovageshift"
@@ -19,6 +20,7 @@
 	chunkBytes  = 256 << 10
 	maxResumes  = 2
 	serverError = 500
+	eventStream = "text/event-stream"
 	// An engine that fails this often in a row gets one request at a time.
 	failuresToDoubt = 3
 )
@@ -40,6 +42,10 @@
 	watchdog.seen()
 	a.noteEngine(answer.Incarnation)
 	if j.start.Stream && answer.Status == http.StatusOK {
+		if !strings.HasPrefix(answer.ContentType, eventStream) {
+			a.fail()
+			return lovageshift.Unknown(lovageshift.ReasonEngineGarbage, "the engine's answer is not an event stream")
+		}
 		return a.runStream(ctx, j, answer, watchdog)
 	}
 	return a.runWhole(ctx, j, answer, watchdog)
--- a/entry/body.go
+++ b/entry/body.go
@@ -37,15 +37,17 @@
 func readBody(w http.ResponseWriter, r *http.Request, limits *lovageshift.Limits) ([]byte, *lovageshift.Refusal) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(limits.CallerIdleMillis.Duration()))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, lovageshift.NotRun(lovageshift.ReasonBodyTooLarge, fmt.Sprintf("the body exceeds %d bytes", limits.BodyBytes))
 	case err != nil:
+		// The deadline stays, so that nobody waits for the rest of the body.
+		w.Header().Set("Connection", "close")
 		return nil, lovageshift.NotRun(lovageshift.ReasonBodyUnreadable, "the body was cut short or came too slowly")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
