Read again only what an edit touches, and know the peers once

Causes found: a line number was counted from the file's start for each key, so 34,000 accounts took 20.6 s to merge; an edit read every file; the peers were ranked anew for each question of trust.

--- a/agent/config.go
+++ b/agent/config.go
@@ -56,6 +56,7 @@
 }
 
 func (a *Agent) applyLimits(limits *lovageshift.Limits) {
+	a.node.SetQuarantine(limits.QuarantineMillis)
 	a.window.SetTransit(limits.TransitMillis)
 	a.keeper.SetTimes(limits.LeaseMillis, limits.TransitMillis)
 	a.ledger.SetLimits(idempotency.Limits{
--- a/cmd/lovageshift/check.go
+++ b/cmd/lovageshift/check.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	merged, err := folder.Merge(set.Revision, set.Files)
+	merged, err := folder.Explain(set.Revision, set.Files)
 	var faults folder.Faults
 	if errors.As(err, &faults) {
 		for _, fault := range faults {
--- a/cmd/lovageshift/main.go
+++ b/cmd/lovageshift/main.go
@@ -43,6 +43,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), keyCommand(), tryCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), keyCommand(), tryCommand(), standinCommand(), versionCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/lovageshift/standin.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"lovageshift/link"
+	"lovageshift/standin"
+)
+
+const standinHelp = `Runs a stand-in engine, or with --service a stand-in plain service, on a loopback
+IP:port until interrupted, to try entries and agents as separate processes.`
+
+func standinCommand() *cobra.Command {
+	var service, slow bool
+	command := &cobra.Command{
+		Use:   "standin ADDRESS",
+		Short: "Run a stand-in engine or service",
+		Long:  standinHelp,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			profile := standin.FastProfile()
+			if slow {
+				profile = standin.SlowProfile()
+			}
+			handler := standin.NewEngine(args[0], profile).Handler()
+			if service {
+				handler = standin.NewService()
+			}
+			host := standin.NewHost(link.NewNetwork(link.Plain()), args[0], handler)
+			if err := host.Start(); err != nil {
+				return err
+			}
+			<-command.Context().Done()
+			host.Close(command.Context())
+			return nil
+		},
+	}
+	command.Flags().BoolVar(&service, "service", false, "run a plain service")
+	command.Flags().BoolVar(&slow, "slow", false, "run an engine of the older generation")
+	return command
+}
--- a/config.go
+++ b/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 )
@@ -77,6 +78,40 @@
 	return members[id]
 }
 
+// Clone returns a configuration with the same members, to be changed and validated anew.
+func (c *Config) Clone() *Config {
+	return &Config{
+		Accounts: maps.Clone(c.Accounts),
+		Keys:     maps.Clone(c.Keys),
+		Tiers:    maps.Clone(c.Tiers),
+		Models:   maps.Clone(c.Models),
+		Zones:    maps.Clone(c.Zones),
+		Targets:  maps.Clone(c.Targets),
+		Routes:   maps.Clone(c.Routes),
+		Limits:   c.Limits,
+	}
+}
+
+// Remove drops a member of a section, so that Entity makes it anew.
+func (c *Config) Remove(section, name string) {
+	switch section {
+	case "accounts":
+		delete(c.Accounts, AccountID(name))
+	case "keys":
+		delete(c.Keys, KeyID(name))
+	case "tiers":
+		delete(c.Tiers, TierID(name))
+	case "models":
+		delete(c.Models, ModelID(name))
+	case "zones":
+		delete(c.Zones, ZoneID(name))
+	case "targets":
+		delete(c.Targets, TargetID(name))
+	case "routes":
+		delete(c.Routes, RouteID(name))
+	}
+}
+
 type validator interface {
 	validate(*Config) []Problem
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -51,6 +51,7 @@
 func (e *Entry) adjustLinks(ctx context.Context, tasks *errgroup.Group, config *lovageshift.Config) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.node.SetQuarantine(config.Limits.QuarantineMillis)
 	e.budget.SetShare(config.Limits.RetryShare)
 	wanted := map[lovageshift.TargetID]string{}
 	for _, id := range e.subset(config) {
--- a/fleet/network.go
+++ b/fleet/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -18,8 +19,14 @@
 	cut       map[pair]bool
 	frozen    map[string]bool
 	changed   chan struct{}
+	traffic   map[string]Traffic
+	lossOneIn int // one write in so many breaks its connection; 0 for none
+	random    *rand.Rand
 }
 
+// Traffic is what a host has sent.
+type Traffic struct{ Writes, Bytes int }
+
 type pair struct{ a, b string }
 
 func pairOf(a, b string) pair {
@@ -34,6 +41,7 @@
 	return &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]bool{},
 		cut: map[pair]bool{}, frozen: map[string]bool{}, changed: make(chan struct{}),
+		traffic: map[string]Traffic{}, random: rand.New(rand.NewPCG(1, 1)),
 	}
 }
 
@@ -56,6 +64,29 @@
 	n.change(func() { n.frozen[host] = frozen })
 }
 
+// Lose breaks the connection at one write in so many, at random; 0 loses nothing.
+func (n *Network) Lose(oneIn int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.lossOneIn = oneIn
+}
+
+// Sent returns what a host has sent so far.
+func (n *Network) Sent(host string) Traffic {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.traffic[host]
+}
+
+// count notes a write and reports whether it is lost.
+func (n *Network) count(host string, size int) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	sent := n.traffic[host]
+	n.traffic[host] = Traffic{sent.Writes + 1, sent.Bytes + size}
+	return n.lossOneIn > 0 && n.random.IntN(n.lossOneIn) == 0
+}
+
 func (n *Network) change(apply func()) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -212,6 +243,10 @@
 	for {
 		wait := c.network.blocked(c.from, c.to)
 		if wait == nil {
+			if c.network.count(c.from, len(data)) {
+				_ = c.Close()
+				return 0, net.ErrClosed
+			}
 			return c.Conn.Write(data)
 		}
 		if err := c.hold(wait); err != nil {
--- /dev/null
+++ b/folder/bench_test.go
@@ -0,0 +1,112 @@
+package folder_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"lovageshift"
+	"lovageshift/folder"
+)
+
+const accountsAFile = 1000
+
+// largeSet returns files with accounts and one key each, and the targets of the size in two years.
+func largeSet(accounts, targets int) []folder.File {
+	files := []folder.File{folder.NewFile("10-base.toml", []byte(baseOf(targets)))}
+	var text strings.Builder
+	for i := range accounts {
+		hash, _ := lovageshift.HashSecret(fmt.Sprintf("ls_%064x", i))
+		fmt.Fprintf(&text, "[accounts.c%05d]\ntier=\"urgent\"\nrate=%d\nburst=%d\n[keys.k%05d]\naccount=\"c%05d\"\nhash=%q\n",
+			i, 100+i%900, 20000, i, i, hash.String())
+		if i%accountsAFile == accountsAFile-1 || i == accounts-1 {
+			files = append(files, folder.NewFile(fmt.Sprintf("50-%05d.toml", i), []byte(text.String())))
+			text.Reset()
+		}
+	}
+	return files
+}
+
+func baseOf(targets int) string {
+	var text strings.Builder
+	text.WriteString("[tiers.urgent]\nrank=1\n[models.drafts]\n")
+	for i := range targets {
+		fmt.Fprintf(&text, "[zones.z%d]\n[targets.t%03d]\nzone=\"z%d\"\nmodel=\"drafts\"\naddress=\"10.0.%d.%d:8000\"\nagent=\"10.0.%d.%d:7000\"\n",
+			i, i, i%7, i/250, i%250, i/250, i%250)
+	}
+	return text.String()
+}
+
+// BenchmarkMerge reads, merges, checks and indexes a whole configuration.
+func BenchmarkMerge(b *testing.B) {
+	for _, accounts := range []int{340, 3_400, 34_000} {
+		files := largeSet(accounts, 600)
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := folder.Merge(1, files); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkChange takes in an edit that withdraws one key, beside reading all anew.
+func BenchmarkChange(b *testing.B) {
+	files := largeSet(34_000, 600)
+	with := func(name string) []folder.File {
+		edit := fmt.Sprintf("[keys.%s]\nwithdrawn = true\n", name)
+		return append(append([]folder.File(nil), files...), folder.NewFile("90-edit.toml", []byte(edit)))
+	}
+	b.Run("part", func(b *testing.B) {
+		b.ReportAllocs()
+		merger := folder.NewMerger()
+		if _, err := merger.Merge(1, files); err != nil {
+			b.Fatal(err)
+		}
+		for i := 0; b.Loop(); i++ {
+			if _, err := merger.Merge(2, with(fmt.Sprintf("k%05d", i%34_000))); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("whole", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := folder.Merge(2, with("k00001")); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkMemory reports the heap that one configuration holds, per client account with one key.
+func BenchmarkMemory(b *testing.B) {
+	for _, accounts := range []int{3_400, 34_000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			var held *lovageshift.Config
+			before := heap()
+			for b.Loop() {
+				merged, err := folder.Merge(1, largeSet(accounts, 600))
+				if err != nil {
+					b.Fatal(err)
+				}
+				held = merged.Config
+			}
+			grown := float64(heap() - before)
+			b.ReportMetric(grown/(1<<20), "MB")
+			b.ReportMetric(grown/float64(accounts), "B/account")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/folder/file.go
+++ b/folder/file.go
@@ -1,6 +1,7 @@
 package folder
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -65,9 +66,10 @@
 
 // document is one parsed file: its values and the line of each key.
 type document struct {
-	name   string
-	values map[string]any
-	lines  map[string]int
+	name    string
+	values  map[string]any
+	content []byte
+	lines   map[string]int // made when first needed
 }
 
 func parse(file File) (*document, *Fault) {
@@ -75,7 +77,7 @@
 	if err := toml.Unmarshal(file.Content, &values); err != nil {
 		return nil, syntaxFault(file.Name, err)
 	}
-	return &document{name: file.Name, values: values, lines: keyLines(file.Content)}, nil
+	return &document{name: file.Name, values: values, content: file.Content}, nil
 }
 
 func syntaxFault(name string, err error) *Fault {
@@ -93,9 +95,12 @@
 	parser := unstable.Parser{}
 	parser.Reset(content)
 	prefix := ""
+	line, counted := 1, 0
 	for parser.NextExpression() {
 		expression := parser.Expression()
-		key, line := keyOf(&parser, expression)
+		key, offset := keyOf(expression)
+		line += bytes.Count(content[counted:max(offset, counted)], []byte{'\n'})
+		counted = max(offset, counted)
 		switch expression.Kind {
 		case unstable.Table, unstable.ArrayTable:
 			prefix = key + "."
@@ -107,21 +112,25 @@
 	return lines
 }
 
-func keyOf(parser *unstable.Parser, expression *unstable.Node) (string, int) {
+// keyOf returns an expression's dotted key and where it begins.
+func keyOf(expression *unstable.Node) (string, int) {
 	var parts []string
-	line := 0
+	offset := -1
 	for it := expression.Key(); it.Next(); {
 		node := it.Node()
 		parts = append(parts, string(node.Data))
-		if line == 0 {
-			line = parser.Shape(node.Raw).Start.Line
+		if offset < 0 {
+			offset = int(node.Raw.Offset)
 		}
 	}
-	return strings.Join(parts, "."), line
+	return strings.Join(parts, "."), offset
 }
 
 // lineOf returns the line of the nearest enclosing key that the file sets.
 func (d *document) lineOf(path string) int {
+	if d.lines == nil {
+		d.lines = keyLines(d.content)
+	}
 	for path != "" {
 		if line, found := d.lines[path]; found {
 			return line
--- a/folder/folder_test.go
+++ b/folder/folder_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"lovageshift/folder"
 	"lovageshift/try"
@@ -18,7 +20,7 @@
 	for i, content := range files {
 		set = append(set, folder.NewFile(string(rune('a'+i))+".toml", []byte(content)))
 	}
-	return folder.Merge(1, set)
+	return folder.Explain(1, set)
 }
 
 func TestMerge(t *testing.T) {
@@ -53,6 +55,35 @@
 	})
 }
 
+// TestPartsMakeTheWhole compares a merger that reads only what changed with one that reads all.
+func TestPartsMakeTheWhole(t *testing.T) {
+	snippets := []string{
+		"[zones.a]\n[zones.b]\n", "[zones.b]\ninService=false\n", "[zones.c]\n",
+		"[tiers.t]\nrank=1\n", "[tiers.t]\nfirstTokenMillis=5\n", "[tiers.u]\nrank=2\n", "[tiers.u]\nrank=1\n",
+		"[accounts.x]\ntier=\"t\"\nrate=1\nburst=1\n", "[accounts.x]\nrate=9\n", "[accounts.x]\nrate=-1\n",
+		"[limits]\nbodyBytes=5\n", "",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		merger := folder.NewMerger()
+		contents := []string{snippets[0], snippets[3], snippets[7], "", "", ""}
+		for range 12 {
+			contents[rapid.IntRange(0, len(contents)-1).Draw(t, "file")] = rapid.SampledFrom(snippets).Draw(t, "content")
+			var files []folder.File
+			for i, content := range contents {
+				files = append(files, folder.NewFile(string(rune('a'+i))+".toml", []byte(content)))
+			}
+			part, partErr := merger.Merge(1, files)
+			whole, wholeErr := folder.Merge(1, files)
+			if (partErr == nil) != (wholeErr == nil) {
+				t.Fatalf("part: %v, whole: %v", partErr, wholeErr)
+			}
+			if wholeErr == nil && !reflect.DeepEqual(part, whole.Config) {
+				t.Fatalf("part %+v\nwhole %+v", part, whole.Config)
+			}
+		}
+	})
+}
+
 func TestDirectory(t *testing.T) {
 	Convey("An edit that keeps the change time still raises the revision", t, func() {
 		path := t.TempDir()
--- a/folder/merge.go
+++ b/folder/merge.go
@@ -36,37 +36,62 @@
 
 // Merge merges and checks the files; the error is Faults, with every fault found.
 func Merge(revision lovageshift.Revision, files []File) (*Merged, error) {
-	merger := newMerger()
+	merger := newMerger(lovageshift.NewConfig())
 	for _, file := range sorted(files) {
 		merger.add(file)
 	}
-	for _, problem := range merger.config.Validate() {
-		merger.faults = append(merger.faults, merger.locate(problem))
-	}
-	if len(merger.faults) > 0 {
-		return nil, merger.faults
-	}
-	digest := SetDigest(files)
-	merger.config.Revision = revision
-	merger.config.Hash = hex.EncodeToString(digest[:])
-	return &Merged{Config: merger.config, Sources: merger.sources}, nil
+	return merger.finish(revision, files)
 }
 
 type merger struct {
 	config  *lovageshift.Config
-	sources map[string]Source
+	sources map[string]Source // only for Explain
+	wanted  func(section, name string) bool
+	names   []EntityName
 	faults  Faults
 	fields  map[reflect.Type]map[string]int
 }
 
-func newMerger() *merger {
+const limitsSection = "limits"
+
+// EntityName names a member of a section.
+type EntityName struct{ Section, Name string }
+
+func newMerger(config *lovageshift.Config) *merger {
 	return &merger{
-		config:  lovageshift.NewConfig(),
-		sources: map[string]Source{},
-		fields:  map[reflect.Type]map[string]int{},
+		config: config,
+		wanted: func(string, string) bool { return true },
+		fields: map[reflect.Type]map[string]int{},
 	}
 }
 
+// finish checks the configuration; only one with a fault is read again to find the places.
+func (m *merger) finish(revision lovageshift.Revision, files []File) (*Merged, error) {
+	if problems := m.config.Validate(); len(problems) > 0 || len(m.faults) > 0 {
+		return Explain(revision, files)
+	}
+	digest := SetDigest(files)
+	m.config.Revision = revision
+	m.config.Hash = hex.EncodeToString(digest[:])
+	return &Merged{Config: m.config, Sources: m.sources}, nil
+}
+
+// Explain is Merge with the source of each field.
+func Explain(revision lovageshift.Revision, files []File) (*Merged, error) {
+	merger := newMerger(lovageshift.NewConfig())
+	merger.sources = map[string]Source{}
+	for _, file := range sorted(files) {
+		merger.add(file)
+	}
+	for _, problem := range merger.config.Validate() {
+		merger.faults = append(merger.faults, merger.locate(problem))
+	}
+	if len(merger.faults) > 0 {
+		return nil, merger.faults
+	}
+	return merger.finish(revision, files)
+}
+
 func (m *merger) add(file File) {
 	document, fault := parse(file)
 	if fault != nil {
@@ -84,7 +109,8 @@
 		m.fault(document, section, "must be a table")
 		return
 	}
-	if section == "limits" {
+	if section == limitsSection {
+		m.names = append(m.names, EntityName{Section: limitsSection})
 		m.addFields(document, section, &m.config.Limits, members)
 		return
 	}
@@ -99,12 +125,16 @@
 			m.fault(document, path, "names are letters, digits, - and _, 64 at most")
 			continue
 		}
+		m.names = append(m.names, EntityName{section, name})
+		if !m.wanted(section, name) {
+			continue
+		}
 		entity := m.config.Entity(section, name)
 		if entity == nil {
 			m.fault(document, section, "unknown section")
 			return
 		}
-		m.sources[path] = Source{document.name, document.lineOf(path), "{}"}
+		m.note(document, path, struct{}{})
 		m.addFields(document, path, entity, fields)
 	}
 }
@@ -134,7 +164,7 @@
 			m.fault(document, fieldPath, message)
 			continue
 		}
-		m.sources[fieldPath] = Source{document.name, document.lineOf(fieldPath), fmt.Sprintf("%#v", fields[name])}
+		m.note(document, fieldPath, fields[name])
 	}
 }
 
@@ -213,6 +243,12 @@
 	return ""
 }
 
+func (m *merger) note(document *document, path string, value any) {
+	if m.sources != nil {
+		m.sources[path] = Source{document.name, document.lineOf(path), fmt.Sprintf("%#v", value)}
+	}
+}
+
 func (m *merger) fault(document *document, path, message string) {
 	m.faults = append(m.faults, Fault{document.name, document.lineOf(path), path, message})
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,6 +70,7 @@
 	listMutex   sync.Mutex
 	listSince   lovageshift.Millis
 	listOf      *lovageshift.Config
+	near        atomic.Pointer[neighbours]
 	ready       atomic.Bool
 	reads       atomic.Int64
 }
@@ -189,23 +190,36 @@
 	return n.Trust().Permits(n.Limits().UnconfirmedPolicy)
 }
 
-func (n *Node) listed() []string {
-	var ids []string
-	for _, peer := range n.peers() {
-		ids = append(ids, peer.ID)
-	}
-	return ids
+// neighbours are the peers of one configuration; who they are is dear to work out.
+type neighbours struct {
+	config    *lovageshift.Config
+	addresses []Address
+	ids       []string
 }
 
-func (n *Node) peers() []Address {
-	if config := n.Book.Config(); config != nil {
-		return n.Peers(config)
+func (n *Node) listed() []string { return n.neighbours().ids }
+
+func (n *Node) peers() []Address { return n.neighbours().addresses }
+
+func (n *Node) neighbours() *neighbours {
+	config := n.Book.Config()
+	if known := n.near.Load(); known != nil && known.config == config {
+		return known
+	}
+	near := &neighbours{config: config}
+	if config != nil {
+		near.addresses = n.Peers(config)
 	}
-	seeds := make([]Address, 0, len(n.Seeds))
 	for _, seed := range n.Seeds {
-		seeds = append(seeds, Address{seed, seed})
+		if config == nil {
+			near.addresses = append(near.addresses, Address{seed, seed})
+		}
+	}
+	for _, peer := range near.addresses {
+		near.ids = append(near.ids, peer.ID)
 	}
-	return seeds
+	n.near.Store(near)
+	return near
 }
 
 // offer puts a set in force and logs and counts what became of it.
--- a/peer/suspects.go
+++ b/peer/suspects.go
@@ -6,6 +6,13 @@
 	"lovageshift/wire"
 )
 
+// SetQuarantine changes after how many milliseconds suspects age out.
+func (n *Node) SetQuarantine(lifetime lovageshift.Millis) {
+	n.suspectMutex.Lock()
+	defer n.suspectMutex.Unlock()
+	n.suspects.SetLifetime(lifetime)
+}
+
 // Crashed counts a crash against fingerprints and wakes those who pass suspects on.
 func (n *Node) Crashed(fingerprints []lovageshift.Fingerprint) {
 	n.suspectMutex.Lock()
--- a/proofs.sh
+++ b/proofs.sh
@@ -13,7 +13,7 @@
 
 # rule NAME FILE PATTERN REPLACEMENT PACKAGE TEST: the pattern and the replacement are sed's.
 rule() {
-  case "$1 $2 $6" in *"${only:-}"*) ;; *) return ;; esac
+  case "$1 $2 $5 $6" in *"${only:-}"*) ;; *) return ;; esac
   rm -rf "$copy/tree" && mkdir "$copy/tree"
   git -C "$root" ls-files -z --cached --others --exclude-standard | tar -C "$root" --null -T - -cf - | tar -C "$copy/tree" -xf -
   sed -i -E "s~$3~$4~" "$copy/tree/$2"
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -47,6 +47,9 @@
 	return &Register{lifetime: lifetime, suspects: map[lovageshift.Fingerprint]*list.Element{}, order: list.New()}
 }
 
+// SetLifetime changes after how many milliseconds suspects age out.
+func (r *Register) SetLifetime(lifetime lovageshift.Millis) { r.lifetime = lifetime }
+
 // Crash counts one more crash against a fingerprint and returns its suspect.
 func (r *Register) Crash(now lovageshift.Millis, fingerprint lovageshift.Fingerprint) Suspect {
 	crashes := 1
--- a/revision/book.go
+++ b/revision/book.go
@@ -33,6 +33,7 @@
 	active atomic.Pointer[Active]
 
 	mutex       sync.Mutex
+	merger      *folder.Merger
 	refused     folder.Digest
 	confirmedAt lovageshift.Millis
 	heard       map[string]lovageshift.Millis
@@ -41,7 +42,7 @@
 
 // NewBook returns a book with nothing in force.
 func NewBook() *Book {
-	return &Book{heard: map[string]lovageshift.Millis{}, changed: make(chan struct{})}
+	return &Book{merger: folder.NewMerger(), heard: map[string]lovageshift.Millis{}, changed: make(chan struct{})}
 }
 
 // Active returns the configuration in force, or nil before the first.
@@ -70,12 +71,12 @@
 	if err := b.compare(set.Revision, digest); err != nil {
 		return err
 	}
-	merged, err := folder.Merge(set.Revision, set.Files)
+	config, err := b.merger.Merge(set.Revision, set.Files)
 	if err != nil {
 		b.refused = digest
 		return err
 	}
-	b.active.Store(&Active{Config: merged.Config, Set: set, Digest: digest})
+	b.active.Store(&Active{Config: config, Set: set, Digest: digest})
 	b.confirmedAt = 0
 	clear(b.heard)
 	close(b.changed)
