--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -61,8 +62,9 @@
 
 // Agent is one run of the process beside a target.
 type Agent struct {
-	options Options
-	node    *peer.Node
+	options  Options
+	node     *peer.Node
+	watchers atomic.Int64
 
 	mutex    sync.Mutex
 	config   *lovageshift.Config
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -12,6 +12,8 @@
 const (
 	heartbeatInterval = time.Second
 	loadInterval      = 50 * time.Millisecond
+	// With many watchers news of load waits longer, so that the bytes sent stay bounded.
+	watcherInterval = 55 * time.Millisecond
 	// A pause this many times the mean gap shows an engine that has slowed down.
 	coldGaps = 8
 )
@@ -23,6 +25,8 @@
 	a.mutex.Lock()
 	a.window.Hello(now, lovageshift.EntryID(request.Entry), lovageshift.Incarnation(request.Incarnation), lovageshift.Millis(request.SentAt))
 	a.mutex.Unlock()
+	a.watchers.Add(1)
+	defer a.watchers.Add(-1)
 	for {
 		a.mutex.Lock()
 		changed := a.changed
@@ -51,7 +55,7 @@
 		return nil
 	case <-changed:
 	}
-	settle := time.NewTimer(loadInterval)
+	settle := time.NewTimer(a.settleTime())
 	defer settle.Stop()
 	select {
 	case <-ctx.Done():
@@ -62,6 +66,16 @@
 	return nil
 }
 
+func (a *Agent) settleTime() time.Duration {
+	a.mutex.Lock()
+	urgent := a.stopping || a.down
+	a.mutex.Unlock()
+	if urgent {
+		return 0
+	}
+	return max(loadInterval, time.Duration(a.watchers.Load())*watcherInterval)
+}
+
 // gap needs the lock; an engine that has fallen silent shows as slow before its next token.
 func (a *Agent) gap() float64 {
 	silent := float64(a.node.Now() - a.progress)
--- a/cmd/lovageshift/check.go
+++ b/cmd/lovageshift/check.go
@@ -52,6 +52,9 @@
 	sort.Strings(paths)
 	for _, path := range paths {
 		source := merged.Sources[path]
+		if source.Text == "" {
+			continue
+		}
 		fmt.Fprintf(out, "%s = %s  (%s:%d)\n", path, source.Text, source.File, source.Line)
 	}
 	return nil
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -169,7 +169,7 @@
 		w.alone = true
 		return suspectsPlace(w.fingerprint, candidates, fit), nil
 	default:
-		return fit, nil
+		return e.staying(fit), nil
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,8 @@
 	budget *retry.Budget
 	random *rand.Rand
 	links  map[lovageshift.TargetID]*agentLink
+	// leaving names the targets whose VMs the platform says are leaving.
+	leaving map[lovageshift.TargetID]bool
 
 	walletMutex sync.Mutex
 	wallet      *grant.Wallet
@@ -125,6 +127,7 @@
 	tasks.Go(func() error { return e.node.Run(background) })
 	tasks.Go(func() error { return e.keepLinks(background) })
 	tasks.Go(func() error { return e.reportLeases(background) })
+	tasks.Go(func() error { return e.followMachines(background) })
 	tasks.Go(func() error {
 		<-ctx.Done()
 		e.drain(server)
--- /dev/null
+++ b/entry/machines.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"lovageshift"
+	"lovageshift/platform"
+)
+
+const machinesInterval = 10 * time.Second
+
+// machineList is a source that also publishes which VMs are live and leaving.
+type machineList interface {
+	Machines(ctx context.Context) (platform.Machines, error)
+}
+
+// followMachines reads the platform's lagging list, where the source has one. A list that cannot be read is forgotten.
+func (e *Entry) followMachines(ctx context.Context) error {
+	source, has := e.options.Source.(machineList)
+	if !has {
+		return nil
+	}
+	for ctx.Err() == nil {
+		machines, _ := source.Machines(ctx)
+		leaving := make(map[lovageshift.TargetID]bool, len(machines.Leaving))
+		for _, name := range machines.Leaving {
+			leaving[lovageshift.TargetID(name)] = true
+		}
+		e.mutex.Lock()
+		e.leaving = leaving
+		e.mutex.Unlock()
+		timer := time.NewTimer(e.node.Jitter(machinesInterval))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// staying leaves out targets whose VMs are leaving, unless no other is fit: the list lags, and a name
+// on it may have come back. It needs the lock.
+func (e *Entry) staying(fit []lovageshift.TargetID) []lovageshift.TargetID {
+	if len(e.leaving) == 0 {
+		return fit
+	}
+	var staying []lovageshift.TargetID
+	for _, id := range fit {
+		if !e.leaving[id] {
+			staying = append(staying, id)
+		}
+	}
+	if len(staying) == 0 {
+		return fit
+	}
+	return staying
+}
--- a/fleet/control_test.go
+++ b/fleet/control_test.go
@@ -12,6 +12,7 @@
 
 	"lovageshift"
 	"lovageshift/fleet"
+	"lovageshift/platform"
 )
 
 // inForce waits until every process has the revision in force and returns how long it took.
@@ -52,6 +53,9 @@
 		if after := f.Engines["e2"].Stats().Requests; after != before {
 			t.Fatalf("the zone got %d requests", after-before)
 		}
+		if refused := f.Agent("e2").Status().Refusals[string(lovageshift.ReasonTargetOut)]; refused != 0 {
+			t.Fatalf("entries sent %d requests to the zone", refused)
+		}
 		revision = f.Publish("90-zone.toml", "")
 		inForce(f, revision)
 		many(f, asks, 20*time.Millisecond)
@@ -61,6 +65,23 @@
 	})
 }
 
+func TestLeavingMachineGetsNoNewWork(t *testing.T) {
+	inFleet(t, smallSpec(), func(t *testing.T, f *fleet.Fleet) {
+		f.Platform.SetMachines(platform.Machines{Live: []string{"e1"}, Leaving: []string{"e2"}})
+		time.Sleep(20 * time.Second)
+		before := f.Engines["e2"].Stats().Requests
+		asks := asksOf("painters", 20, 5)
+		for i, reply := range many(f, asks, 50*time.Millisecond) {
+			if !reply.Whole(asks[i]) {
+				t.Fatalf("%+v", reply)
+			}
+		}
+		if after := f.Engines["e2"].Stats().Requests; after != before {
+			t.Fatalf("the leaving machine got %d requests", after-before)
+		}
+	})
+}
+
 // TestAgentRefusesWhenOnlyItKnows cuts the entry off from the change, so that the agent alone enforces it.
 func TestAgentRefusesWhenOnlyItKnows(t *testing.T) {
 	spec := smallSpec()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -281,10 +281,10 @@
 	_ = running.done.Wait()
 }
 
-// waitReady waits until every entry is linked with every agent, the keepers' rest is over and buckets have filled.
+// waitReady waits until every entry is linked with the agents of its subset, the keepers' rest is over and buckets have filled.
 func (f *Fleet) waitReady() {
 	for _, running := range f.entry {
-		for !running.Ready() || !f.linked(running) {
+		for !running.Ready() || !linked(running) {
 			time.Sleep(readyPoll)
 		}
 	}
@@ -292,14 +292,14 @@
 	time.Sleep((limits.ConfirmMillis + limits.LeaseMillis + limits.TransitMillis).Duration() + refill)
 }
 
-func (f *Fleet) linked(running *EntryProcess) bool {
-	linked := 0
-	for _, target := range running.Status().Targets {
-		if target.TakesWork {
-			linked++
+func linked(running *EntryProcess) bool {
+	targets := running.Status().Targets
+	for _, target := range targets {
+		if !target.TakesWork {
+			return false
 		}
 	}
-	return linked == len(f.Targets())
+	return len(targets) > 0
 }
 
 // Stop ends everything and waits.
--- a/folder/merge.go
+++ b/folder/merge.go
@@ -134,7 +134,7 @@
 			m.fault(document, section, "unknown section")
 			return
 		}
-		m.note(document, path, struct{}{})
+		m.note(document, path, "")
 		m.addFields(document, path, entity, fields)
 	}
 }
@@ -164,7 +164,7 @@
 			m.fault(document, fieldPath, message)
 			continue
 		}
-		m.note(document, fieldPath, fields[name])
+		m.note(document, fieldPath, fmt.Sprintf("%#v", fields[name]))
 	}
 }
 
@@ -243,9 +243,10 @@
 	return ""
 }
 
-func (m *merger) note(document *document, path string, value any) {
+// note records where a path was set; a member by itself has no value.
+func (m *merger) note(document *document, path, text string) {
 	if m.sources != nil {
-		m.sources[path] = Source{document.name, document.lineOf(path), fmt.Sprintf("%#v", value)}
+		m.sources[path] = Source{document.name, document.lineOf(path), text}
 	}
 }
 
--- a/test.sh
+++ b/test.sh
@@ -18,3 +18,7 @@
 others=$(go list ./... | grep -vxF "$properties")
 go test -race -count=1 $others
 go test -race -count=1 $properties -args -rapid.seed=1
+
+# Fuzz the readers of requests and of configurations for a fixed count.
+go test ./entry -run '^$' -fuzz FuzzParseCompletion -fuzztime 3000x
+go test ./folder -run '^$' -fuzz FuzzMerge -fuzztime 3000x
--- a/trial/spread_test.go
+++ b/trial/spread_test.go
@@ -67,6 +67,9 @@
 // TestSpread measures how long a change takes to every process, and the idle control traffic.
 func TestSpread(t *testing.T) {
 	sizes := [][2]int{{2, 1}, {20, 10}}
+	if *only == "100" {
+		sizes = nil
+	}
 	if *table {
 		sizes = append(sizes, [2]int{65, 35})
 	}
