--- a/agent/agent.go
+++ b/agent/agent.go
@@ -241,18 +241,12 @@
 }
 
 func (a *Agent) sweepLoop(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	lovageshift.Every(ctx, sweepInterval, func() {
 		a.mutex.Lock()
+		defer a.mutex.Unlock()
 		now := a.node.Now()
 		a.keeper.Sweep(now)
 		a.window.Forget(now - forgetEntries)
-		a.mutex.Unlock()
-	}
+	})
+	return nil
 }
--- a/agent/crash.go
+++ b/agent/crash.go
@@ -115,10 +115,7 @@
 		if down {
 			wait = probeInterval
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		lovageshift.Pause(ctx, wait)
 	}
 	return nil
 }
--- a/agent/status.go
+++ b/agent/status.go
@@ -1,11 +1,8 @@
 package agent
 
 import (
-	"encoding/json"
 	"net/http"
 
-	"github.com/gorilla/mux"
-
 	"lovageshift"
 	"lovageshift/metrics"
 )
@@ -55,13 +52,7 @@
 
 // Operators serves metrics and the status, on an address of its own.
 func (a *Agent) Operators() http.Handler {
-	router := mux.NewRouter()
-	router.Handle("/metrics", a.options.Metrics.Handler())
-	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(a.Status())
-	})
-	return router
+	return a.options.Metrics.Operators(func() any { return a.Status() })
 }
 
 // RegisterGauges shows the revision in force, the trust in it and the open connections among the metrics.
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,9 @@
 package lovageshift
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Millis is a point in time or a duration in milliseconds.
 type Millis int64
@@ -22,5 +25,29 @@
 // Now returns the milliseconds since the clock started; it never goes back.
 func (c Clock) Now() Millis { return Millis(time.Since(c.start).Milliseconds()) + 1 }
 
+// Pause waits for the time given, or until the context ends.
+func Pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Every does something at an interval until the context ends.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // Wall returns the wall time in milliseconds since the Unix epoch.
 func (c Clock) Wall() Millis { return Millis(time.Now().UnixMilli()) }
--- a/cmd/lovageshift/main.go
+++ b/cmd/lovageshift/main.go
@@ -2,47 +2,19 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
+
+	"lovageshift/command"
 )
 
 func main() {
-	os.Exit(run())
-}
-
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	logFlags()
-	defer klog.Flush()
-	if err := rootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "lovageshift: "+err.Error())
-		return 1
-	}
-	return 0
-}
-
-// logFlags sends logs to standard error; klog takes its settings by flags only.
-func logFlags() {
-	flags := flag.NewFlagSet("log", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	_ = flags.Set("logtostderr", "true")
-}
-
-func rootCommand() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "lovageshift",
-		Short:         "Schedules language-model requests across unlike engines",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:   "lovageshift",
+		Short: "Schedules language-model requests across unlike engines",
 	}
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), keyCommand(), tryCommand(), standinCommand(), versionCommand())
-	return root
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), keyCommand(), tryCommand(), standinCommand(),
+		command.Version(root.Name()))
+	os.Exit(command.Run(root))
 }
--- a/cmd/lovageshiftagent/main.go
+++ b/cmd/lovageshiftagent/main.go
@@ -2,47 +2,18 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
+
+	"lovageshift/command"
 )
 
 func main() {
-	os.Exit(run())
-}
-
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	logFlags()
-	defer klog.Flush()
-	if err := rootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "lovageshiftagent: "+err.Error())
-		return 1
-	}
-	return 0
-}
-
-// logFlags sends logs to standard error; klog takes its settings by flags only.
-func logFlags() {
-	flags := flag.NewFlagSet("log", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	_ = flags.Set("logtostderr", "true")
-}
-
-func rootCommand() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "lovageshiftagent",
-		Short:         "Runs beside a target and alone gives it work",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:   "lovageshiftagent",
+		Short: "Runs beside a target and alone gives it work",
 	}
-	root.AddCommand(serveCommand(), versionCommand())
-	return root
+	root.AddCommand(serveCommand(), command.Version(root.Name()))
+	os.Exit(command.Run(root))
 }
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"lovageshift"
+)
+
+// Run executes the root command until it ends, an interrupt or SIGTERM, and returns the exit code.
+func Run(root *cobra.Command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logToStandardError()
+	defer klog.Flush()
+	root.SilenceUsage, root.SilenceErrors = true, true
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, root.Name()+": "+err.Error())
+		return 1
+	}
+	return 0
+}
+
+// logToStandardError sets klog up, which takes its settings by flags only.
+func logToStandardError() {
+	flags := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "true")
+}
+
+const versionHelp = `Prints the version of this program.`
+
+// Version returns the command that prints a program's version.
+func Version(program string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Long:  versionHelp,
+		Args:  cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) {
+			fmt.Fprintln(command.OutOrStdout(), program+" "+lovageshift.Version)
+		},
+	}
+}
--- /dev/null
+++ b/command/doc.go
@@ -0,0 +1,2 @@
+// Package command holds what both programs' command lines share.
+package command
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -150,14 +150,7 @@
 
 // reportLeases tells the keepers what became of their leases.
 func (e *Entry) reportLeases(ctx context.Context) error {
-	ticker := time.NewTicker(reportTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	lovageshift.Every(ctx, reportTick, func() {
 		e.walletMutex.Lock()
 		reports := e.wallet.Due(e.node.Now())
 		e.walletMutex.Unlock()
@@ -169,7 +162,8 @@
 			})
 		}
 		_ = tasks.Wait()
-	}
+	})
+	return nil
 }
 
 func (e *Entry) sendReport(ctx context.Context, report grant.Report) {
--- a/entry/links.go
+++ b/entry/links.go
@@ -92,12 +92,7 @@
 			backoff = minLinkBackoff
 		}
 		e.linkDown(id, l)
-		timer := time.NewTimer(e.node.Jitter(backoff))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		lovageshift.Pause(ctx, e.node.Jitter(backoff))
 		backoff = min(2*backoff, maxLinkBackoff)
 	}
 }
--- a/entry/machines.go
+++ b/entry/machines.go
@@ -30,12 +30,7 @@
 		e.mutex.Lock()
 		e.leaving = leaving
 		e.mutex.Unlock()
-		timer := time.NewTimer(e.node.Jitter(machinesInterval))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		lovageshift.Pause(ctx, e.node.Jitter(machinesInterval))
 	}
 	return nil
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
 
-	"github.com/gorilla/mux"
-
 	"lovageshift"
 	"lovageshift/metrics"
 )
@@ -74,15 +71,9 @@
 	}
 }
 
-// Operators serves metrics and the status, on an address apart from the callers'.
+// Operators serves metrics and the status, on an address of its own.
 func (e *Entry) Operators() http.Handler {
-	router := mux.NewRouter()
-	router.Handle("/metrics", e.options.Metrics.Handler())
-	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(e.Status())
-	})
-	return router
+	return e.options.Metrics.Operators(func() any { return e.Status() })
 }
 
 // RegisterGauges shows the revision in force, the trust in it and the open connections among the metrics.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"sync"
 
+	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -112,5 +114,13 @@
 	return maps.Clone(m.counts[name])
 }
 
-// Handler serves the metrics in the Prometheus format.
-func (m *Metrics) Handler() http.Handler { return m.handler }
+// Operators serves the metrics in the Prometheus format and a process's status as JSON.
+func (m *Metrics) Operators(status func() any) http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", m.handler)
+	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(status())
+	})
+	return router
+}
--- a/peer/sync.go
+++ b/peer/sync.go
@@ -45,17 +45,17 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !n.needsSource() {
-			pause(ctx, n.Jitter(watchWait))
+			lovageshift.Pause(ctx, n.Jitter(watchWait))
 			continue
 		}
 		if err := n.readSource(ctx); err != nil {
-			pause(ctx, n.Jitter(backoff))
+			lovageshift.Pause(ctx, n.Jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
 		if !n.watchesNow() {
-			pause(ctx, n.Jitter(watchWait))
+			lovageshift.Pause(ctx, n.Jitter(watchWait))
 		}
 	}
 	return nil
@@ -316,12 +316,3 @@
 	}
 	return files
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
