Show that each reason occurs, and that a stream without its end mark is not whole

The proof for the end mark went unnoticed: the stand-in broke connections only, which fail by themselves. It now also ends early in good order.

--- a/fleet/control_test.go
+++ b/fleet/control_test.go
@@ -12,6 +12,7 @@
 
 	"lovageshift"
 	"lovageshift/fleet"
+	"lovageshift/metrics"
 	"lovageshift/platform"
 )
 
@@ -275,16 +276,42 @@
 
 func TestOpenRouteNeedsNoKey(t *testing.T) {
 	spec := smallSpec()
-	spec.Extra = "[targets.p1]\nkind=\"service\"\nroute=\"public\"\nzone=\"a\"\naddress=\"127.0.0.1:1002\"\nagent=\"127.0.0.1:2099\"\n"
+	spec.Services = append(spec.Services, fleet.Service{ID: "p1", Zone: "a", Route: "public"}, fleet.Service{ID: "l1", Zone: "b", Route: "lookups"})
 	inFleet(t, spec, func(t *testing.T, f *fleet.Fleet) {
 		reply := f.Entry(0).Call(context.Background(), http.MethodGet, "/public/x", http.Header{}, "")
-		if reply.Reason != string(lovageshift.ReasonNoTarget) {
+		if reply.Status != http.StatusOK || reply.Outcome != "answered" {
 			t.Fatalf("%+v", reply)
 		}
 		reply = f.Entry(0).Call(context.Background(), http.MethodGet, "/lookups/x", http.Header{}, "")
-		if reply.Reason != string(lovageshift.ReasonKeyMissing) {
+		if reply.Reason != string(lovageshift.ReasonKeyMissing) || f.Services["l1"].Runs("") != 0 {
 			t.Fatalf("%+v", reply)
 		}
+		reply = f.Entry(0).Call(context.Background(), http.MethodGet, "/lookups/x", bearer("rounds"), "")
+		if reply.Status != http.StatusOK {
+			t.Fatalf("%+v", reply)
+		}
+	})
+}
+
+func TestOrdersFollowTheConfiguration(t *testing.T) {
+	inFleet(t, smallSpec(), func(t *testing.T, f *fleet.Fleet) {
+		f.Publish("90-version.toml", "[targets.e1]\nversion = \"2\"\n[targets.e2]\nversion = \"2\"\n")
+		time.Sleep(30 * time.Second)
+		for _, id := range []lovageshift.TargetID{"e1", "e2"} {
+			if done := f.Agent(id).Metrics.Counts(metrics.Orders)["done"]; done < 2 {
+				t.Fatalf("%s got %d orders", id, done)
+			}
+			if old := f.Engines[id].Stats().OldOrders; old > 0 {
+				t.Fatalf("%s got %d orders with an old number", id, old)
+			}
+		}
+		f.KillAgent("e1")
+		f.StartAgent("e1")
+		f.Publish("90-version.toml", "[targets.e1]\nversion = \"3\"\n")
+		time.Sleep(30 * time.Second)
+		if old := f.Engines["e1"].Stats().OldOrders; old > 0 {
+			t.Fatalf("the restarted agent gave %d orders with an old number", old)
+		}
 	})
 }
 
--- a/fleet/input_test.go
+++ b/fleet/input_test.go
@@ -116,6 +116,9 @@
 				if reply.Done || reply.Outcome != "unknown" {
 					t.Fatalf("%s, whole %v: %+v", c.name, whole, reply)
 				}
+				if reply.Tokens >= 20 {
+					t.Fatalf("%s: all tokens came", c.name)
+				}
 				// A flood that is no JSON at all is garbage before it is too much.
 				if reply.Reason != string(c.reason) && c.fault != standin.FaultTooMuch {
 					t.Fatalf("%s, whole %v: %s", c.name, whole, reply.Reason)
@@ -125,6 +128,22 @@
 	}
 }
 
+func TestStreamWithoutItsEndMarkIsNotWhole(t *testing.T) {
+	spec := smallSpec()
+	for i := range spec.Engines {
+		spec.Engines[i].Profile.Resumes = false
+	}
+	inFleet(t, spec, func(t *testing.T, f *fleet.Fleet) {
+		for _, engine := range f.Engines {
+			engine.Break(standin.FaultEndEarly)
+		}
+		reply := f.Entry(0).Complete(context.Background(), fleet.Ask{Account: "painters", Prompt: "hi", Tokens: 20})
+		if reply.Done || reply.Outcome != "unknown" || reply.Reason != string(lovageshift.ReasonEngineFailed) {
+			t.Fatalf("%+v", reply)
+		}
+	})
+}
+
 func TestBrokenStreamIsResumed(t *testing.T) {
 	inFleet(t, smallSpec(), func(t *testing.T, f *fleet.Fleet) {
 		for _, engine := range f.Engines {
--- /dev/null
+++ b/fleet/reasons_test.go
@@ -0,0 +1,137 @@
+package fleet_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift"
+	"lovageshift/fleet"
+	"lovageshift/metrics"
+)
+
+// counted adds up the refusals and retries of every process by reason.
+func counted(f *fleet.Fleet) (refusals, retries metrics.Counts) {
+	refusals, retries = metrics.Counts{}, metrics.Counts{}
+	add := func(m *metrics.Metrics) {
+		for reason, count := range m.Counts(metrics.Refusals) {
+			refusals[reason] += count
+		}
+		for reason, count := range m.Counts(metrics.Retries) {
+			retries[reason] += count
+		}
+	}
+	for _, id := range f.Targets() {
+		add(f.Agent(id).Metrics)
+	}
+	for number := range f.Spec.Entries {
+		add(f.Entry(number).Metrics)
+	}
+	return refusals, retries
+}
+
+// flood sends more than two small engines bear, patient work before urgent.
+func flood(f *fleet.Fleet) {
+	var callers errgroup.Group
+	for _, account := range []lovageshift.AccountID{"rounds", "painters"} {
+		callers.Go(func() error {
+			many(f, asksOf(account, 60, 200), 2*time.Millisecond)
+			return nil
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	_ = callers.Wait()
+}
+
+func TestReasonsOccur(t *testing.T) {
+	refused := func(reasons ...lovageshift.Reason) []lovageshift.Reason { return reasons }
+	complete := func(f *fleet.Fleet) {
+		f.Entry(0).Complete(context.Background(), asksOf("painters", 1, 5)[0])
+	}
+	cases := []struct {
+		name     string
+		run      func(*fleet.Fleet)
+		refusals []lovageshift.Reason
+		retries  []lovageshift.Reason
+	}{
+		{
+			"a flood", flood,
+			refused(lovageshift.ReasonShed, lovageshift.ReasonDisplaced, lovageshift.ReasonDeadline),
+			refused(lovageshift.ReasonShed, lovageshift.ReasonDisplaced),
+		},
+		{"more than the rate", func(f *fleet.Fleet) {
+			inForce(f, f.Publish("90-rate.toml", "[accounts.painters]\nrate=10\nburst=200\n"))
+			many(f, asksOf("painters", 5, 20), 2*time.Millisecond)
+		}, refused(lovageshift.ReasonRateExceeded), nil},
+		{"keepers cut off", func(f *fleet.Fleet) {
+			for _, id := range f.Targets() {
+				f.Network.Cut("entry-1", string(id), true)
+			}
+			complete(f)
+		}, refused(lovageshift.ReasonKeeperUnreachable), nil},
+		{"no target in service", func(f *fleet.Fleet) {
+			inForce(f, f.Publish("90-zones.toml", "[zones.a]\ninService=false\n[zones.b]\ninService=false\n"))
+			complete(f)
+		}, refused(lovageshift.ReasonNoTarget), nil},
+		{"an agent that leaves with work waiting", func(f *fleet.Fleet) {
+			var stops errgroup.Group
+			stops.Go(func() error {
+				time.Sleep(300 * time.Millisecond)
+				return f.Agent("e1").Drain(context.Background())
+			})
+			flood(f)
+			_ = stops.Wait()
+		}, refused(lovageshift.ReasonTargetLeaving), refused(lovageshift.ReasonTargetLeaving)},
+		{"an engine that crashes with work waiting", func(f *fleet.Fleet) {
+			time.AfterFunc(300*time.Millisecond, f.Engines["e1"].Crash)
+			flood(f)
+		}, refused(lovageshift.ReasonTargetFailing, lovageshift.ReasonEngineFailed), refused(lovageshift.ReasonTargetFailing)},
+		{"an agent that dies with work running", func(f *fleet.Fleet) {
+			time.AfterFunc(300*time.Millisecond, func() { f.KillAgent("e1"); f.StartAgent("e1") })
+			flood(f)
+		}, refused(lovageshift.ReasonConnectionLost), nil},
+		{"a caller that leaves", func(f *fleet.Fleet) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			f.Entry(0).Complete(ctx, fleet.Ask{Account: "painters", Prompt: "x", Tokens: 2000})
+			time.Sleep(time.Second)
+		}, refused(lovageshift.ReasonWithdrawn, lovageshift.ReasonSlowCaller), nil},
+		{"a method that the route does not take", func(f *fleet.Fleet) {
+			f.Entry(0).Call(context.Background(), http.MethodDelete, "/deposits/x", bearer("painters"), "")
+		}, refused(lovageshift.ReasonMethodNotAllowed), nil},
+		{"a body that is cut short", func(f *fleet.Fleet) {
+			conn, err := f.Network.Host("caller").Dial(context.Background(), "127.0.0.1:3000")
+			if err != nil {
+				panic(err)
+			}
+			_, _ = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+				fleet.KeyOf("painters") + "\r\nContent-Length: 50\r\n\r\n{"))
+			time.Sleep(time.Second)
+			_ = conn.Close()
+			time.Sleep(time.Second)
+		}, refused(lovageshift.ReasonBodyUnreadable), nil},
+	}
+	for _, c := range cases {
+		spec := smallSpec()
+		for i := range spec.Engines {
+			spec.Engines[i].MaxRunning, spec.Engines[i].MaxWaiting = 4, 6
+		}
+		inFleet(t, spec, func(t *testing.T, f *fleet.Fleet) {
+			c.run(f)
+			refusals, retries := counted(f)
+			for _, reason := range c.refusals {
+				if refusals[string(reason)] == 0 {
+					t.Errorf("%s: no refusal %s among %v", c.name, reason, refusals)
+				}
+			}
+			for _, reason := range c.retries {
+				if retries[string(reason)] == 0 {
+					t.Errorf("%s: no retry after %s among %v", c.name, reason, retries)
+				}
+			}
+		})
+	}
+}
--- a/fleet/rogue_test.go
+++ b/fleet/rogue_test.go
@@ -52,6 +52,7 @@
 		{"a withdrawn key", func(s *wire.Start) { s.Key = "gone" }, "", lovageshift.ReasonKeyWithdrawn},
 		{"another account's key", func(s *wire.Start) { s.Account = "rounds" }, "", lovageshift.ReasonKeyWithdrawn},
 		{"no key", func(s *wire.Start) { s.Key, s.Account = "", "" }, "", lovageshift.ReasonKeyWithdrawn},
+		{"no key on a route that is not open", func(s *wire.Start) { s.Key, s.Account, s.Route = "", "", "lookups" }, "", lovageshift.ReasonKeyWithdrawn},
 		{"no idempotency key", func(s *wire.Start) { s.Route = "deposits" }, "", lovageshift.ReasonIdempotencyKeyMissing},
 		{"a zone that is out", func(*wire.Start) {}, "[zones.a]\ninService = false\n", lovageshift.ReasonTargetOut},
 		{"a target that is out", func(*wire.Start) {}, "[targets.e1]\ninService = false\n", lovageshift.ReasonTargetOut},
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 
@@ -19,10 +20,11 @@
 	MaxRunning, MaxWaiting int
 }
 
-// Service is one replica of the deposits service.
+// Service is one replica of a plain service, by default of the deposits.
 type Service struct {
-	ID   lovageshift.TargetID
-	Zone lovageshift.ZoneID
+	ID    lovageshift.TargetID
+	Zone  lovageshift.ZoneID
+	Route lovageshift.RouteID
 }
 
 // Account is one client account of a fleet; its key is KeyOf(ID).
@@ -118,8 +120,8 @@
 	}
 	for i, service := range s.Services {
 		number := len(s.Engines) + i
-		fmt.Fprintf(text, "[targets.%s]\nkind=\"service\"\nroute=\"deposits\"\nzone=%q\naddress=%q\nagent=%q\ncoldLimit=8\nmaxRunning=32\nmaxWaiting=32\n",
-			service.ID, service.Zone, s.address("engine", number), s.address("agent", number))
+		fmt.Fprintf(text, "[targets.%s]\nkind=\"service\"\nroute=%q\nzone=%q\naddress=%q\nagent=%q\ncoldLimit=8\nmaxRunning=32\nmaxWaiting=32\n",
+			service.ID, cmp.Or(service.Route, "deposits"), service.Zone, s.address("engine", number), s.address("agent", number))
 	}
 }
 
--- a/refusal.go
+++ b/refusal.go
@@ -54,7 +54,6 @@
 	ReasonIdempotencyUnproven   Reason = "idempotencyUnproven"
 	ReasonIdempotencyFull       Reason = "idempotencyFull"
 	ReasonUnconfirmed           Reason = "configurationUnconfirmed"
-	ReasonStopping              Reason = "stopping"
 	ReasonConnectionLost        Reason = "connectionLost"
 	ReasonEngineFailed          Reason = "engineFailed"
 	ReasonEngineGarbage         Reason = "engineGarbage"
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -131,6 +131,7 @@
 	FaultTruncate
 	FaultError
 	FaultBreak
+	FaultEndEarly
 )
 
 // NewEngine returns an engine that is cold, when its profile knows cold.
--- a/standin/handler.go
+++ b/standin/handler.go
@@ -115,6 +115,9 @@
 				continue
 			}
 			e.breakAt(number)
+			if e.endsEarly(number) {
+				return
+			}
 			_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", Token(seq.tag, number))
 			flusher.Flush()
 			sent = number
@@ -137,6 +140,13 @@
 	}
 }
 
+// endsEarly reports whether the answer is to end here as if it were whole, but without its mark.
+func (e *Engine) endsEarly(number int) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.fault == FaultEndEarly && number == 3
+}
+
 func (e *Engine) endStream(w http.ResponseWriter, seq *sequence, sent int) {
 	usage := fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"prompt_tokens_details":{"cached_tokens":%d}}`, seq.prompt, sent, seq.cached)
 	_, _ = fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":%s}\n\ndata: [DONE]\n\n", usage)
