Count retries in whole hundredths, and prove each retry and outcome rule

Cause found by TestDecide: ten tenths of a retry added up to less than one. Before: the tenth success earned no retry; after: it does.

--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -203,6 +203,35 @@
 	})
 }
 
+func TestKilledAgentLeavesTheOutcomeUnknown(t *testing.T) {
+	inFleet(t, smallSpec(), func(t *testing.T, f *fleet.Fleet) {
+		for _, service := range f.Services {
+			service.Delay(5 * time.Second)
+		}
+		var callers errgroup.Group
+		var stream, deposit *fleet.Reply
+		callers.Go(func() error {
+			stream = f.Entry(0).Complete(context.Background(), fleet.Ask{Account: "painters", Prompt: "x", Tokens: 500})
+			return nil
+		})
+		callers.Go(func() error {
+			deposit = f.Entry(0).Deposit(context.Background(), "painters", uuidNow(1), "x")
+			return nil
+		})
+		time.Sleep(time.Second)
+		for _, id := range f.Targets() {
+			f.KillAgent(id)
+			f.StartAgent(id)
+		}
+		_ = callers.Wait()
+		for _, reply := range []*fleet.Reply{stream, deposit} {
+			if reply.Outcome != "unknown" || reply.Reason != string(lovageshift.ReasonConnectionLost) {
+				t.Errorf("%+v", reply)
+			}
+		}
+	})
+}
+
 func TestDepositAnswerIsGivenAgain(t *testing.T) {
 	inFleet(t, smallSpec(), func(t *testing.T, f *fleet.Fleet) {
 		key := uuidNow(1)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -5,26 +5,27 @@
 )
 
 const (
+	// Balances are in hundredths of a retry.
+	oneRetry = 100
 	// Every holder may retry this often before it has earned any retry.
-	startingRetries = 10
-	maxRetries      = 100
+	startingRetries = 10 * oneRetry
+	maxRetries      = 100 * oneRetry
 	maxHolders      = 8192
-	percent         = 100
 )
 
 // Budget lets retries grow only as a share of successes.
 type Budget struct {
 	share    int // retries earned per hundred successes
-	accounts map[lovageshift.AccountID]float64
-	targets  map[lovageshift.TargetID]float64
+	accounts map[lovageshift.AccountID]int
+	targets  map[lovageshift.TargetID]int
 }
 
 // NewBudget returns a budget that earns share retries per hundred successes.
 func NewBudget(share int) *Budget {
 	return &Budget{
 		share:    share,
-		accounts: map[lovageshift.AccountID]float64{},
-		targets:  map[lovageshift.TargetID]float64{},
+		accounts: map[lovageshift.AccountID]int{},
+		targets:  map[lovageshift.TargetID]int{},
 	}
 }
 
@@ -33,29 +34,28 @@
 
 // Succeeded earns a part of a retry for the account and the target.
 func (b *Budget) Succeeded(account lovageshift.AccountID, target lovageshift.TargetID) {
-	earned := float64(b.share) / percent
-	deposit(b.accounts, account, earned)
-	deposit(b.targets, target, earned)
+	deposit(b.accounts, account, b.share)
+	deposit(b.targets, target, b.share)
 }
 
 // Spend takes one retry of the account's away from the target that refused, and reports whether both had one.
 func (b *Budget) Spend(account lovageshift.AccountID, target lovageshift.TargetID) bool {
-	if balance(b.accounts, account) < 1 || balance(b.targets, target) < 1 {
+	if balance(b.accounts, account) < oneRetry || balance(b.targets, target) < oneRetry {
 		return false
 	}
-	deposit(b.accounts, account, -1)
-	deposit(b.targets, target, -1)
+	deposit(b.accounts, account, -oneRetry)
+	deposit(b.targets, target, -oneRetry)
 	return true
 }
 
-func balance[K comparable](balances map[K]float64, holder K) float64 {
+func balance[K comparable](balances map[K]int, holder K) int {
 	if amount, known := balances[holder]; known {
 		return amount
 	}
 	return startingRetries
 }
 
-func deposit[K comparable](balances map[K]float64, holder K, amount float64) {
+func deposit[K comparable](balances map[K]int, holder K, amount int) {
 	if len(balances) >= maxHolders {
 		clear(balances)
 	}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,67 @@
+package retry_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"lovageshift"
+	"lovageshift/retry"
+)
+
+func attempt(refusal *lovageshift.Refusal) retry.Attempt {
+	return retry.Attempt{Account: "a", Target: "t", Refusal: refusal, Now: 1, Deadline: 100, Walk: 1}
+}
+
+func TestDecide(t *testing.T) {
+	Convey("A retry", t, func() {
+		budget := retry.NewBudget(10)
+		notRun := lovageshift.NotRun(lovageshift.ReasonTargetFailing, "")
+		Convey("needs proof that the request did not run", func() {
+			So(budget.Decide(attempt(notRun)).Again, ShouldBeTrue)
+			So(budget.Decide(attempt(lovageshift.Unknown(lovageshift.ReasonTargetFailing, ""))).Again, ShouldBeFalse)
+			So(budget.Decide(attempt(&lovageshift.Refusal{Reason: lovageshift.ReasonShed})).Again, ShouldBeFalse)
+		})
+		Convey("needs time, a target left, and a reason that another target may not have", func() {
+			late, alone := attempt(notRun), attempt(notRun)
+			late.Now, alone.Walk = 100, 0
+			So(budget.Decide(late).Reason, ShouldEqual, lovageshift.ReasonDeadline)
+			So(budget.Decide(alone).Again, ShouldBeFalse)
+			So(budget.Decide(attempt(lovageshift.NotRun(lovageshift.ReasonKeyWithdrawn, ""))).Again, ShouldBeFalse)
+		})
+		Convey("is earned by successes once the first ones are spent", func() {
+			for budget.Decide(attempt(notRun)).Again {
+				continue
+			}
+			for range 9 {
+				budget.Succeeded("a", "t")
+			}
+			So(budget.Decide(attempt(notRun)).Again, ShouldBeFalse)
+			budget.Succeeded("a", "t")
+			So(budget.Decide(attempt(notRun)).Again, ShouldBeTrue)
+		})
+	})
+}
+
+// TestRetriesAreAShareOfSuccesses counts retries of any mix of successes and refusals.
+func TestRetriesAreAShareOfSuccesses(t *testing.T) {
+	const share, first = 10, 10
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(share)
+		successes, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				budget.Succeeded("a", "t")
+				successes++
+				continue
+			}
+			if budget.Decide(attempt(lovageshift.NotRun(lovageshift.ReasonTargetFailing, ""))).Again {
+				retries++
+			}
+		}
+		if retries > first+successes*share/100+1 {
+			t.Fatalf("%d retries after %d successes", retries, successes)
+		}
+	})
+}
