Send news of load soon where few watch

Cause: pacing by the number of watchers delayed it to 165 ms also with three entries, where bytes are no matter.

--- a/agent/watch.go
+++ b/agent/watch.go
@@ -14,6 +14,7 @@
 	loadInterval      = 50 * time.Millisecond
 	// With many watchers news of load waits longer, so that the bytes sent stay bounded.
 	watcherInterval = 55 * time.Millisecond
+	fewWatchers     = 4
 	// A pause this many times the mean gap shows an engine that has slowed down.
 	coldGaps = 8
 )
@@ -70,10 +71,15 @@
 	a.mutex.Lock()
 	urgent := a.stopping || a.down
 	a.mutex.Unlock()
-	if urgent {
+	watchers := a.watchers.Load()
+	switch {
+	case urgent:
 		return 0
+	case watchers <= fewWatchers:
+		return loadInterval
+	default:
+		return time.Duration(watchers) * watcherInterval
 	}
-	return max(loadInterval, time.Duration(a.watchers.Load())*watcherInterval)
 }
 
 // gap needs the lock; an engine that has fallen silent shows as slow before its next token.
