--- a/agent/agent.go
+++ b/agent/agent.go
@@ -114,10 +114,7 @@
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 	}
-	a.ledger = idempotency.NewLedger(options.Clock.Wall(), idempotency.Limits{
-		Records: limits.IdempotencyRecords, AnswerBytes: answerKept,
-		Lifetime: limits.KeyLifetimeMillis, Skew: limits.ClockSkewMillis,
-	})
+	a.ledger = idempotency.NewLedger(options.Clock.Wall(), ledgerLimits(&limits))
 	a.node = peer.NewNode(peer.Options{
 		ID: string(options.Target), Clock: options.Clock, Network: options.Network, Source: options.Source,
 		Metrics: options.Metrics, Random: options.Random, Seeds: options.Seeds,
--- a/agent/config.go
+++ b/agent/config.go
@@ -59,10 +59,14 @@
 	a.node.SetQuarantine(limits.QuarantineMillis)
 	a.window.SetTransit(limits.TransitMillis)
 	a.keeper.SetTimes(limits.LeaseMillis, limits.TransitMillis)
-	a.ledger.SetLimits(idempotency.Limits{
+	a.ledger.SetLimits(ledgerLimits(limits))
+}
+
+func ledgerLimits(limits *lovageshift.Limits) idempotency.Limits {
+	return idempotency.Limits{
 		Records: limits.IdempotencyRecords, AnswerBytes: answerKept,
 		Lifetime: limits.KeyLifetimeMillis, Skew: limits.ClockSkewMillis,
-	})
+	}
 }
 
 // applyMembers records since when this agent keeps what the list of targets gives it.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,7 +53,6 @@
 	node     *peer.Node
 	sequence atomic.Uint64
 	draining atomic.Bool
-	active   atomic.Int64
 
 	mutex  sync.Mutex // guards what follows
 	board  *routing.Board
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -57,7 +57,7 @@
 	return "ls_" + text.String()
 }
 
-// Agent returns the address of a target's agent.
+// address returns the address of the numbered engine, agent or entry.
 func (s *Spec) address(kind string, number int) string {
 	ports := map[string]int{"engine": 1000, "agent": 2000, "entry": 3000}
 	return fmt.Sprintf("127.0.0.1:%d", ports[kind]+number)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -32,10 +32,9 @@
 	Crashes        Name = "lovageshift_engine_crashes"
 	Orders         Name = "lovageshift_orders"
 	ColdStarts     Name = "lovageshift_cold_starts"
-	WastedPrefill  Name = "lovageshift_wasted_prefill_tokens"
 )
 
-var allNames = []Name{Refusals, Retries, Answers, Dispatches, Configurations, Crashes, Orders, ColdStarts, WastedPrefill}
+var allNames = []Name{Refusals, Retries, Answers, Dispatches, Configurations, Crashes, Orders, ColdStarts}
 
 // Counts holds the value of each label of one counter.
 type Counts map[string]int64
--- a/refusal.go
+++ b/refusal.go
@@ -132,12 +132,3 @@
 		return false
 	}
 }
-
-// AsRefusal returns the refusal in err, or an unknown outcome with the reason given.
-func AsRefusal(err error, otherwise Reason) *Refusal {
-	var refusal *Refusal
-	if errors.As(err, &refusal) {
-		return refusal
-	}
-	return Unknown(otherwise, err.Error())
-}
--- a/standin/service.go
+++ b/standin/service.go
@@ -12,7 +12,6 @@
 	mutex sync.Mutex
 	runs  map[string]int
 	delay time.Duration
-	fail  bool
 	leaks int
 }
 
--- a/trial/latency_test.go
+++ b/trial/latency_test.go
@@ -48,9 +48,15 @@
 
 func at(offset int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+offset) }
 
-// startPath brings an entry and agents up on loopback and returns when they answer.
-func startPath(ctx context.Context, t *testing.T, tasks *errgroup.Group) {
+// startPath brings an entry and agents up on loopback until the test ends and returns when they answer.
+func startPath(t *testing.T) {
 	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks errgroup.Group
+	t.Cleanup(func() {
+		cancel()
+		_ = tasks.Wait()
+	})
 	klog.SetOutput(io.Discard)
 	path := t.TempDir()
 	var text strings.Builder
@@ -169,13 +175,7 @@
 	if !*latency {
 		t.Skip("run with -args -latency")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var tasks errgroup.Group
-	defer func() {
-		cancel()
-		_ = tasks.Wait()
-	}()
-	startPath(ctx, t, &tasks)
+	startPath(t)
 	measureAt(at(300), 500, 3*time.Second)
 	for _, rate := range []int{1, 100, 1000} {
 		length := 5 * time.Second
@@ -194,13 +194,7 @@
 	if !*latency {
 		t.Skip("run with -args -latency")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var tasks errgroup.Group
-	defer func() {
-		cancel()
-		_ = tasks.Wait()
-	}()
-	startPath(ctx, t, &tasks)
+	startPath(t)
 	for _, callers := range []int{8, 16, 64, 256} {
 		rate, failed := saturate(at(300), callers, 3*time.Second)
 		plain, _ := saturate(at(0), callers, time.Second)
--- a/trial/measures_test.go
+++ b/trial/measures_test.go
@@ -42,11 +42,7 @@
 
 // meanUse is the tokens that a request of the class consumes on average.
 func meanUse(class trial.Class) float64 {
-	return mean(class.Prompt) + mean(class.Output)
-}
-
-func mean(r trial.Range) float64 {
-	return float64(r.Most-r.Least) / math.Log(float64(r.Most)/float64(r.Least))
+	return class.Prompt.Mean() + class.Output.Mean()
 }
 
 func meteredFleet() fleet.Spec {
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -33,7 +33,8 @@
 	return int(float64(r.Least) * math.Pow(spread, random.Float64()))
 }
 
-func (r Range) mean() float64 {
+// Mean returns the mean of the sizes drawn.
+func (r Range) Mean() float64 {
 	if r.Most == r.Least {
 		return float64(r.Least)
 	}
@@ -110,8 +111,8 @@
 func Capacity(classes []Class, engines []fleet.Engine) float64 {
 	prompt, output, total := 0.0, 0.0, 0.0
 	for _, class := range classes {
-		prompt += class.Share * (class.Prompt.mean() + float64(class.Prefix)*prefixMisses)
-		output += class.Share * class.Output.mean()
+		prompt += class.Share * (class.Prompt.Mean() + float64(class.Prefix)*prefixMisses)
+		output += class.Share * class.Output.Mean()
 		total += class.Share
 	}
 	rate := 0.0
