Let an answer and the end of patience not cross

Cause: the timer that gives up a silent target read the request's count of runs beside the goroutine that changes it, and could cancel the attempt after its answer had begun, which broke a stream off in the middle.

Ruled out: a lock around the count, which leaves the cut stream.

Change: the first of answer and timer decides; whether the request may run again is decided before it is sent.

Before: go test -race -run TestAnswersAtTheMoment ./gateway reports the race. After: passed, and the whole package three times.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -105,6 +105,7 @@
 			{"name": "resume", "host": "h", "prefix": "/resume/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500, "service": "pool", "attempts": 2, "resume_streams": true},
 			{"name": "book", "host": "h", "prefix": "/book/", "kind": "unsafe", "timeout_ms": 1000, "target_latency_ms": 500, "service": "pool", "attempts": 1},
 			{"name": "read", "host": "h", "prefix": "/read/", "kind": "safe", "timeout_ms": 1000, "target_latency_ms": 500, "service": "pool", "attempts": 2},
+			{"name": "quick", "host": "h", "prefix": "/quick/", "kind": "safe", "timeout_ms": 1000, "target_latency_ms": 10, "service": "pool", "attempts": 2},
 			{"name": "open", "host": "h", "prefix": "/open/", "kind": "safe", "timeout_ms": 1000, "service": "pool", "attempts": 1, "allow_anonymous": true},
 		},
 		"services": []map[string]any{{"name": "pool", "connection_limit": 100}},
@@ -378,3 +379,33 @@
 		So(s.ran(), ShouldHaveLength, 1)
 	})
 }
+
+func TestAnswersAtTheMomentOfPatience(t *testing.T) {
+	Convey("An answer that comes just as its target counts as late is whole, or the request goes elsewhere", t, func() {
+		slow := []*standin.Replica{plain("i-1"), plain("i-2"), plain("i-3")}
+		for i, replica := range slow {
+			replica.Slots, replica.Work = 64, time.Duration(29+i)*time.Millisecond
+		}
+		s := newSite(slow...)
+		defer s.stop()
+		var callers errgroup.Group
+		replies := make([][]standin.Reply, 12)
+		for number := range replies {
+			callers.Go(func() error {
+				for i := range 12 {
+					ask := standin.Ask{ID: fmt.Sprintf("r%d-%d", number, i), Host: "h", Method: "GET", Path: "/quick/x", Key: key}
+					address := strings.TrimPrefix(s.url, "http://")
+					replies[number] = append(replies[number], standin.Send(context.Background(), http.DefaultTransport, address, ask))
+				}
+				return nil
+			})
+		}
+		_ = callers.Wait()
+		for _, list := range replies {
+			for _, got := range list {
+				So(got.Whole, ShouldBeTrue)
+				So(got.Status, ShouldBeIn, http.StatusOK, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusServiceUnavailable)
+			}
+		}
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"lovageshift"
@@ -12,6 +13,8 @@
 	"lovageshift/upstream"
 )
 
+var errGivenUp = errors.New("the answer came after the attempt was given up")
+
 // step is what follows after one target had the request.
 type step struct {
 	done bool
@@ -94,12 +97,16 @@
 	r.story.sentAt = g.clock.Now()
 	sending, giveUp := context.WithCancel(ctx)
 	defer giveUp()
-	late := r.watchSilence(place, giveUp)
+	stop := r.watchSilence(place, giveUp)
 	answer, err := g.pool.Send(sending, place.Target, place.Limit, r.toTarget(place))
-	if late.Stop(); err != nil {
+	inTime := stop()
+	if err != nil {
 		return r.unanswered(ctx, sending, place, err)
 	}
 	defer answer.Close()
+	if !inTime && !answer.Verdict.NotRun {
+		return r.unanswered(ctx, sending, place, errGivenUp)
+	}
 	r.story.firstByte = g.clock.Now() - r.story.sentAt
 	if answer.Verdict.NotRun {
 		g.desk.Finish(g.clock.Now(), place, placement.Result{Outcome: placement.Refused})
@@ -110,20 +117,31 @@
 }
 
 // watchSilence counts a target that does not begin to answer as failing, long before the request's time is up, and ends
-// the attempt if another target may be asked.
-func (r *request) watchSilence(place *placement.Place, giveUp func()) *time.Timer {
+// the attempt if another target may be asked. The function returned ends the watch and tells whether the attempt stands.
+func (r *request) watchSilence(place *placement.Place, giveUp func()) func() bool {
 	g := r.gateway
+	// The answer and the end of patience may come together; the first of them decides.
+	var decided atomic.Bool
+	again := r.mayRepeat()
 	limit := lateFactor * r.job.Objective
 	if left := r.left(); left > 0 {
 		limit = min(limit, left/2)
 	}
-	return time.AfterFunc(limit.Duration(), func() {
+	timer := time.AfterFunc(limit.Duration(), func() {
 		g.desk.Late(g.clock.Now(), place)
 		g.log.Info("targetLate", "request", r.ask.ID, "target", place.Target.ID, "afterMillis", limit)
-		if r.mayRepeat() {
+		if again && decided.CompareAndSwap(false, true) {
 			giveUp()
 		}
 	})
+	return func() bool {
+		timer.Stop()
+		stands := decided.CompareAndSwap(false, true)
+		if !stands {
+			giveUp() // the timer may not have come to it yet
+		}
+		return stands
+	}
 }
 
 // mayRepeat reports whether the request may run once more after the run under way.
