Tell other entries which targets are cold

Ruled out: giving a watch up sooner when another entry is ahead, as entries fetch changes together and are behind for up to half a second in good order.

Change: news between entries name the targets that are cold by the sender's own records; what it heard from others is not passed on, so that it ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,6 +185,10 @@
 		news.Targets = append(news.Targets, uint32(hash))
 		news.Running = append(news.Running, uint32(running))
 	}
+	for hash, left := range g.desk.Cold(now) {
+		news.Cold = append(news.Cold, uint32(hash))
+		news.ColdMillis = append(news.ColdMillis, uint32(left))
+	}
 	for _, use := range g.meter.Uses(now) {
 		news.Accounts = append(news.Accounts, &wire.AccountUse{
 			Account: uint32(use.Account), Used: int64(use.Used), Declared: int64(use.Declared),
@@ -223,9 +227,21 @@
 	if news.Leaving {
 		running = nil
 	}
+	g.desk.HeardCold(now, coldOf(news))
 	g.desk.Heard(now, from, running)
 }
 
+// coldOf returns for how long the sender believes targets to stay cold.
+func coldOf(news *wire.EntryNews) map[placement.TargetHash]lovageshift.Millis {
+	cold := make(map[placement.TargetHash]lovageshift.Millis, len(news.Cold))
+	for i, hash := range news.Cold {
+		if i < len(news.ColdMillis) {
+			cold[placement.TargetHash(hash)] = lovageshift.Millis(news.ColdMillis[i])
+		}
+	}
+	return cold
+}
+
 // Counted takes in how many entries may be at work.
 func (g *Gateway) Counted(now lovageshift.Millis, census exchange.Census) {
 	g.heard.Store(int64(census.Heard))
--- a/placement/desk.go
+++ b/placement/desk.go
@@ -170,6 +170,31 @@
 	return running
 }
 
+// Cold returns for how long each target that says so stays cold. What other entries told is left out, so that news of a
+// cold target does not go round for ever.
+func (d *Desk) Cold(now lovageshift.Millis) map[TargetHash]lovageshift.Millis {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	cold := map[TargetHash]lovageshift.Millis{}
+	for hash, known := range d.byHash {
+		if known.service.ColdPerSecond > 0 && known.ColdUntil > now {
+			cold[hash] = known.ColdUntil - now
+		}
+	}
+	return cold
+}
+
+// HeardCold takes in which targets are cold by another entry's view, as this one's may be older.
+func (d *Desk) HeardCold(now lovageshift.Millis, cold map[TargetHash]lovageshift.Millis) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for hash, left := range cold {
+		if known := d.byHash[hash]; known != nil {
+			known.chilledUntil = max(known.chilledUntil, now+left)
+		}
+	}
+}
+
 // Heard takes in what another entry has running at each target.
 func (d *Desk) Heard(now lovageshift.Millis, from netip.Addr, running map[TargetHash]int) {
 	d.mutex.Lock()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -157,6 +157,22 @@
 			So(enter(desk, now, &placement.Job{}).Place, ShouldNotBeNil)
 		}
 	})
+	Convey("A target that only another entry knows to be cold gets no more than a cold one", t, func() {
+		service := &catalog.Service{ID: pool, ColdPerSecond: 20}
+		warm := newDesk(service, &catalog.Target{ID: "i-0", Slots: 1000, Address: "10.1.0.1:1"})
+		told := newDesk(service, &catalog.Target{ID: "i-0", Slots: 1000, Address: "10.1.0.1:1", ColdUntil: 5000}).Cold(1)
+		So(told, ShouldResemble, map[placement.TargetHash]lovageshift.Millis{placement.HashOf("i-0"): 4999})
+		warm.HeardCold(1, told)
+		So(warm.Cold(1), ShouldBeEmpty)
+		placed := 0
+		for range 100 {
+			if enter(warm, 10, &placement.Job{Until: 10}).Place != nil {
+				placed++
+			}
+		}
+		So(3*placed, ShouldBeLessThanOrEqualTo, 35)
+		So(placed, ShouldBeGreaterThan, 0)
+	})
 	Convey("Without a quorum a cold target gets nothing", t, func() {
 		cold := &catalog.Target{ID: "i-0", Slots: 10, ColdUntil: 5000, Address: "10.1.0.1:1"}
 		desk := newDesk(&catalog.Service{ID: pool, ColdPerSecond: 20}, cold)
