Add a soak of real processes under random faults

Entries run as processes of their own on loopback addresses; a TCP proxy harms their connections to the store, to targets and from clients, signals stop, pause, kill and reload them, and targets, store and operator do what they do on the platform. What clients and targets saw is then judged by eighteen promises.

Not covered: datagrams between entries, which go straight from one process to the other, clocks and disks, as the entries use neither wall time nor files for anything that they promise.

--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"lovageshift"
+	"lovageshift/standin"
+)
+
+const (
+	callerPause  = 60 * time.Millisecond
+	dialTimeout  = time.Second
+	askTokens    = 20
+	answerTokens = 10
+	// A client waits this much longer than it says before it gives up.
+	patience = 2500 * time.Millisecond
+	// One request in so many is one that its client leaves early.
+	leavesOneIn = 25
+	leavesAfter = 60 * time.Millisecond
+	tries       = 3
+)
+
+// Attempt is one request of a client and what came back.
+type Attempt struct {
+	Ask   standin.Ask
+	Reply standin.Reply
+	// Account is who holds the key, and Entry the number of the entry that was asked.
+	Account string
+	Entry   int
+	// Sent and Ended are the moments as the client saw them.
+	Sent  lovageshift.Millis
+	Ended lovageshift.Millis
+	// Left tells that the client gave the request up early.
+	Left bool
+}
+
+// Promised tells that the answer says that the request did not run and never will.
+func (a *Attempt) Promised() bool {
+	switch a.Reply.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return !a.Reply.Signed
+	default:
+		return false
+	}
+}
+
+// Repeatable tells that the route allows a second run.
+func (a *Attempt) Repeatable() bool {
+	return !strings.HasPrefix(a.Ask.Path, "/chat/") && !strings.HasPrefix(a.Ask.Path, "/book/")
+}
+
+// book holds all attempts of all clients.
+type book struct {
+	mutex    sync.Mutex
+	attempts []*Attempt
+}
+
+func (b *book) add(attempt *Attempt) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.attempts = append(b.attempts, attempt)
+}
+
+// caller sends requests one after another over connections that it keeps.
+type caller struct {
+	number  int
+	random  *rand.Rand
+	site    *site
+	entries []*entry
+	clock   lovageshift.Clock
+	book    *book
+	kept    []*http.Transport // one an entry
+	current int
+	sent    int
+}
+
+func newCaller(number int, seed uint64, s *site, entries []*entry, written *book) *caller {
+	c := &caller{
+		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), site: s, entries: entries,
+		clock: s.clock, book: written, current: number % len(entries),
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	for range entries {
+		c.kept = append(c.kept, &http.Transport{DialContext: dialer.DialContext, DisableCompression: true})
+	}
+	return c
+}
+
+func (c *caller) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.ask(ctx)
+		lovageshift.Pause(ctx, callerPause+time.Duration(c.random.Int64N(int64(callerPause))))
+	}
+	for _, transport := range c.kept {
+		transport.CloseIdleConnections()
+	}
+	return nil
+}
+
+// ask sends one request, and again at other entries while its kind allows it.
+func (c *caller) ask(ctx context.Context) {
+	paths := []string{"/chat/", "/resume/", "/book/", "/read/"}
+	path := paths[c.random.IntN(len(paths))]
+	for range tries {
+		attempt := c.attempt(ctx, path)
+		if attempt.Reply.Status == http.StatusOK || ctx.Err() != nil || attempt.Left {
+			return
+		}
+		c.move()
+		if !attempt.Repeatable() && !attempt.Promised() {
+			return
+		}
+	}
+}
+
+// move chooses another entry that the balancer offers, as a new connection would come to one.
+func (c *caller) move() {
+	for range c.entries {
+		c.current = (c.current + 1) % len(c.entries)
+		if c.entries[c.current].takesConnections() {
+			return
+		}
+	}
+}
+
+func (c *caller) attempt(ctx context.Context, path string) *Attempt {
+	c.sent++
+	id := fmt.Sprintf("%d-%d", c.number, c.sent)
+	ask := standin.Ask{
+		ID: id, Host: host, Method: http.MethodPost, Path: path + id + "?q=" + id, Body: "body of " + id,
+		WaitMillis: routeMillis, Prompt: askTokens, Output: answerTokens,
+	}
+	if path == "/read/" {
+		ask.Method, ask.Body = http.MethodGet, ""
+	}
+	account := c.choose(&ask)
+	attempt := &Attempt{Ask: ask, Account: account, Entry: c.current, Sent: c.clock.Now(), Left: c.random.IntN(leavesOneIn) == 0}
+	wait := (routeMillis * time.Millisecond) + patience
+	if attempt.Left {
+		wait = leavesAfter
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
+	defer cancel()
+	attempt.Reply = standin.Send(limited, c.kept[c.current], c.entries[c.current].callers.Address(), ask)
+	attempt.Ended = c.clock.Now()
+	c.book.add(attempt)
+	return attempt
+}
+
+// choose gives the request a key and returns whose it is.
+func (c *caller) choose(ask *standin.Ask) string {
+	switch c.random.IntN(3) {
+	case 0:
+		ask.Key = "small-key"
+		return smallAccount
+	case 1:
+		ask.Key = c.site.changingKey()
+	default:
+		ask.Key = "stable-key"
+	}
+	return stableAccount
+}
--- /dev/null
+++ b/soak/doc.go
@@ -0,0 +1,3 @@
+// Package soak runs entries as real processes on loopback with stand-in targets and a stand-in store, injects random
+// faults from outside them, and checks what callers and targets saw against the system's promises.
+package soak
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,140 @@
+package soak_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"lovageshift"
+	"lovageshift/soak"
+	"lovageshift/standin"
+)
+
+// served returns an attempt that was answered well, and its arrival at a target.
+func served(id, path string, at lovageshift.Millis) (*soak.Attempt, soak.Arrival) {
+	ask := standin.Ask{ID: id, Path: path + id, Body: "body", Key: "stable-key"}
+	reply := standin.Reply{Status: http.StatusOK, Signed: true, ID: id, Body: "done by t-1", Whole: true}
+	attempt := &soak.Attempt{Ask: ask, Reply: reply, Account: "stable", Sent: at, Ended: at + 50}
+	seen := standin.Seen{ID: id, Ran: true, URI: ask.Path, Body: ask.Body, Tenant: "stable"}
+	return attempt, soak.Arrival{Seen: seen, At: at + 10, Target: "t-1", Service: "app", Zone: "zone-a"}
+}
+
+// judged returns the promises that a history of these attempts and arrivals breaks.
+func judged(h *soak.History) []soak.Promise {
+	var broken []soak.Promise
+	for _, finding := range soak.Judge(h) {
+		broken = append(broken, finding.Promise)
+	}
+	return broken
+}
+
+func one(path string, change func(*soak.Attempt, *soak.Arrival, *soak.History)) []soak.Promise {
+	attempt, arrival := served("r-1", path, 10_000)
+	h := &soak.History{Attempts: []*soak.Attempt{attempt}, Arrivals: []soak.Arrival{arrival}}
+	change(attempt, &h.Arrivals[0], h)
+	return judged(h)
+}
+
+// many returns a history of as many requests, one each step of time.
+func many(path string, count int, step lovageshift.Millis, change func(*soak.Attempt, *soak.Arrival)) *soak.History {
+	h := &soak.History{}
+	for number := range count {
+		id := string(rune('a'+number%26)) + string(rune('a'+number/26))
+		attempt, arrival := served(id, path, 10_000+lovageshift.Millis(number)*step)
+		change(attempt, &arrival)
+		h.Attempts = append(h.Attempts, attempt)
+		h.Arrivals = append(h.Arrivals, arrival)
+	}
+	return h
+}
+
+func TestJudgeOfOneRequest(t *testing.T) {
+	type change = func(*soak.Attempt, *soak.Arrival, *soak.History)
+	Convey("A good history breaks nothing", t, func() {
+		So(one("/book/", func(*soak.Attempt, *soak.Arrival, *soak.History) {}), ShouldBeEmpty)
+	})
+	cases := []struct {
+		promise soak.Promise
+		path    string
+		change  change
+	}{
+		{soak.RunsOnce, "/book/", func(_ *soak.Attempt, a *soak.Arrival, h *soak.History) { h.Arrivals = append(h.Arrivals, *a) }},
+		{soak.TrueRefusal, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+			a.Reply = standin.Reply{Status: http.StatusServiceUnavailable, ID: "r-1", Whole: true}
+		}},
+		{soak.Unchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Body = "other" }},
+		{soak.Unchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Tenant = "small" }},
+		{soak.Unchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Key = "Token stable-key" }},
+		{soak.Unchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.ID = "r-2" }},
+		{soak.WholeAnswers, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.ID = "r-2" }},
+		{soak.WholeAnswers, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Signed = false }},
+		{soak.WholeAnswers, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Body = "do" }},
+		{soak.OneStream, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Events = []int{1, 3} }},
+		{soak.OneStream, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Events = []int{1, 2} }},
+		{soak.OneStream, "/chat/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+			a.Reply.Events, a.Reply.Writers, a.Reply.Whole = []int{1, 2}, []string{"t-1", "t-2"}, false
+			a.Ended = a.Sent + 3000
+		}},
+		{soak.WithdrawnKeys, "/book/", func(_ *soak.Attempt, _ *soak.Arrival, h *soak.History) {
+			h.Withdrawn = map[string]lovageshift.Millis{"stable-key": 4000}
+		}},
+		{soak.ZonesLeft, "/book/", func(_ *soak.Attempt, _ *soak.Arrival, h *soak.History) {
+			h.ZonesOut = map[string][]soak.Span{"zone-a": {{From: 4000}}}
+		}},
+		{soak.LeavingTargets, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Leaving = 6000 }},
+		{soak.NoneLost, "/book/", func(a *soak.Attempt, _ *soak.Arrival, h *soak.History) {
+			a.Reply = standin.Reply{}
+			h.Troubles = []soak.Trouble{{Kind: soak.EntryStopped, From: 9000, To: 12_000}}
+		}},
+		{soak.ProcessesStay, "/book/", func(_ *soak.Attempt, _ *soak.Arrival, h *soak.History) { h.Ends = []string{"entry-0"} }},
+		{soak.NoRaces, "/book/", func(_ *soak.Attempt, _ *soak.Arrival, h *soak.History) { h.Races = []string{"entry-0"} }},
+		{soak.ServedAfterwards, "/book/", func(a *soak.Attempt, _ *soak.Arrival, h *soak.History) {
+			a.Reply.Whole, h.Calm, a.Left = true, 20_000, false
+		}},
+	}
+	for _, c := range cases {
+		Convey("A breach is found: "+string(c.promise)+" on "+c.path, t, func() {
+			So(one(c.path, c.change), ShouldContain, c.promise)
+		})
+	}
+	Convey("Bounds of time do not hold for an entry that is out of touch", t, func() {
+		So(one("/book/", func(_ *soak.Attempt, a *soak.Arrival, h *soak.History) {
+			a.Leaving = 6000
+			h.Troubles = []soak.Trouble{{Kind: soak.EntryPaused, From: 5000, To: 7000}}
+		}), ShouldBeEmpty)
+	})
+}
+
+func TestJudgeOfManyRequests(t *testing.T) {
+	same := func(*soak.Attempt, *soak.Arrival) {}
+	Convey("A cold target gets its rate and no more", t, func() {
+		cold := func(_ *soak.Attempt, a *soak.Arrival) { a.Cold = true }
+		So(judged(many("/read/", 40, 100, cold)), ShouldBeEmpty)
+		So(judged(many("/read/", 40, 20, cold)), ShouldContain, soak.ColdTargets)
+	})
+	Convey("An account's allowance is counted over all entries", t, func() {
+		small := func(a *soak.Attempt, r *soak.Arrival) { a.Account, r.Tenant = "small", "small" }
+		h := many("/read/", 300, 20, small)
+		h.Limits = []soak.Allowance{{Rate: 400, Burst: 800}}
+		So(judged(h), ShouldContain, soak.Allowances)
+		h.Limits = []soak.Allowance{{Rate: 2000, Burst: 800}}
+		So(judged(h), ShouldBeEmpty)
+	})
+	Convey("Second arrivals are bounded", t, func() {
+		h := many("/read/", 40, 20, same)
+		h.Arrivals = append(h.Arrivals, h.Arrivals...)
+		So(judged(h), ShouldContain, soak.RetryBudget)
+	})
+	Convey("A request that crashes targets is stopped", t, func() {
+		fatal := func(a *soak.Attempt, r *soak.Arrival) {
+			a.Ask.Path, r.URI = "/fatal/1?q="+a.Ask.ID, "/fatal/1?q="+a.Ask.ID
+		}
+		So(judged(many("/fatal/", 6, 1000, fatal)), ShouldBeEmpty)
+		So(judged(many("/fatal/", 14, 1000, fatal)), ShouldContain, soak.FatalRequests)
+	})
+	Convey("Late answers and denials are counted", t, func() {
+		So(judged(many("/read/", 20, 20, func(a *soak.Attempt, _ *soak.Arrival) { a.Ended = a.Sent + 4000 })), ShouldContain, soak.AnsweredInTime)
+		So(judged(many("/read/", 20, 20, func(a *soak.Attempt, _ *soak.Arrival) { a.Reply.Status = http.StatusNotFound })), ShouldContain, soak.ProperServed)
+	})
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,81 @@
+package soak_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift/soak"
+)
+
+// linked calls a server through a proxy, whose link the test changes.
+func linked(body func(proxy *soak.Proxy, get func(wait time.Duration) (string, error))) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }))
+	defer server.Close()
+	proxy, err := soak.NewProxy("127.0.0.1:0", server.Listener.Addr().String())
+	So(err, ShouldBeNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks errgroup.Group
+	tasks.Go(func() error { return proxy.Run(ctx) })
+	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext}
+	body(proxy, func(wait time.Duration) (string, error) {
+		client := http.Client{Transport: transport, Timeout: wait}
+		response, err := client.Get("http://" + proxy.Address())
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		content, err := io.ReadAll(response.Body)
+		return string(content), err
+	})
+	cancel()
+	So(tasks.Wait(), ShouldBeNil)
+}
+
+func TestProxyLinks(t *testing.T) {
+	const long, short = 10 * time.Second, 100 * time.Millisecond
+	Convey("Data passes an open and a slow link", t, func() {
+		linked(func(proxy *soak.Proxy, get func(time.Duration) (string, error)) {
+			got, err := get(long)
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, "hello")
+			proxy.Set(soak.LinkSlow)
+			got, err = get(long)
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, "hello")
+		})
+	})
+	Convey("Nothing passes a link that is refused or held, one way or both, until it opens", t, func() {
+		for _, state := range []soak.Link{soak.LinkRefused, soak.LinkHeld, soak.LinkHeldToClient, soak.LinkHeldToServer} {
+			linked(func(proxy *soak.Proxy, get func(time.Duration) (string, error)) {
+				proxy.Set(state)
+				proxy.Reset()
+				_, err := get(short)
+				So(err, ShouldNotBeNil)
+				proxy.Set(soak.LinkOpen)
+				got, err := get(long)
+				So(err, ShouldBeNil)
+				So(got, ShouldEqual, "hello")
+			})
+		}
+	})
+	Convey("A connection that fell silent stays so, and a new one works", t, func() {
+		linked(func(proxy *soak.Proxy, get func(time.Duration) (string, error)) {
+			_, err := get(long)
+			So(err, ShouldBeNil)
+			proxy.Silence()
+			_, err = get(short)
+			So(err, ShouldNotBeNil)
+			got, err := get(long)
+			So(err, ShouldBeNil)
+			So(got, ShouldEqual, "hello")
+		})
+	})
+}
--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Ask is one request of a client of the users' platform.
+type Ask struct {
+	ID     string
+	Host   string
+	Method string
+	Path   string
+	Key    string
+	Body   string
+	// WaitMillis is how long the client says that it waits, 0 to say nothing.
+	WaitMillis int
+	// Prompt and Output are declared tokens.
+	Prompt int
+	Output int
+}
+
+// Reply is what the client got.
+type Reply struct {
+	// Status is 0 if no answer came.
+	Status int
+	// Signed tells that a target vouches for the answer, and ID which request the answer names.
+	Signed bool
+	ID     string
+	// Events are the ids of a stream's events in their order, and Writers the targets that made them.
+	Events  []int
+	Writers []string
+	Body    string
+	// Whole tells that the answer ended as the protocol says.
+	Whole bool
+}
+
+// Send sends a request over the transport and reads its answer to the end.
+func Send(ctx context.Context, transport http.RoundTripper, address string, ask Ask) Reply {
+	// Without GetBody the transport cannot repeat the request by itself on a second connection.
+	body := struct{ io.Reader }{strings.NewReader(ask.Body)}
+	request, err := http.NewRequestWithContext(ctx, ask.Method, "http://"+address+ask.Path, body)
+	if err != nil {
+		return Reply{}
+	}
+	request.Host = ask.Host
+	request.ContentLength = int64(len(ask.Body))
+	request.Header.Set("Lovageshift-Request-Id", ask.ID)
+	request.Header.Set("Authorization", keyPrefix+ask.Key)
+	request.Header.Set("Lovageshift-Token-Counts", fmt.Sprintf("%d,%d", ask.Prompt, ask.Output))
+	if ask.WaitMillis > 0 {
+		request.Header.Set("Lovageshift-Deadline-Milliseconds", strconv.Itoa(ask.WaitMillis))
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return Reply{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply := Reply{
+		Status: response.StatusCode,
+		Signed: response.Header.Get("Lovageshift-Response-Seal") != "",
+		ID:     response.Header.Get("Lovageshift-Request-Id"),
+	}
+	reply.read(response)
+	return reply
+}
+
+const keyPrefix = "Token "
+
+func (r *Reply) read(response *http.Response) {
+	reader := bufio.NewReader(response.Body)
+	var body strings.Builder
+	for {
+		line, err := reader.ReadString('\n')
+		body.WriteString(line)
+		r.readEvent(line)
+		if err != nil {
+			r.Whole = errors.Is(err, io.EOF)
+			r.Body = body.String()
+			return
+		}
+	}
+}
+
+func (r *Reply) readEvent(line string) {
+	if number, found := strings.CutPrefix(line, "id: "); found {
+		id, err := strconv.Atoi(strings.TrimSpace(number))
+		if err == nil && strings.HasSuffix(number, "\n") {
+			r.Events = append(r.Events, id)
+		}
+	}
+	if _, writer, found := strings.Cut(line, " of "); found {
+		r.Writers = append(r.Writers, strings.TrimSpace(writer))
+	}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,10 +21,14 @@
 	EventTime time.Duration
 	Work      time.Duration
 
+	// Fatal tells of a request, if set, that the replica does not survive it; Crash is called then.
+	Fatal func(uri string) bool
+	Crash func()
+
 	mutex   sync.Mutex
 	running int
 	fault   ReplicaFault
-	seen    []Seen
+	arrived []Seen
 }
 
 // ReplicaFault is how a replica misbehaves.
@@ -48,9 +53,11 @@
 	ReplicaUnsigned
 )
 
-// Seen is one request that the replica ran.
+// Seen is one request that reached the replica.
 type Seen struct {
-	ID      string
+	ID string
+	// Ran tells that the replica worked on the request.
+	Ran     bool
 	URI     string
 	Body    string
 	Tenant  string
@@ -69,9 +76,14 @@
 
 // Seen returns the requests that ran.
 func (r *Replica) Seen() []Seen {
+	return slices.DeleteFunc(r.Arrived(), func(seen Seen) bool { return !seen.Ran })
+}
+
+// Arrived returns the requests that reached the replica, with those that it turned away.
+func (r *Replica) Arrived() []Seen {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return append([]Seen(nil), r.seen...)
+	return slices.Clone(r.arrived)
 }
 
 // Registration is what a replica says of itself in the store.
@@ -115,6 +127,10 @@
 		return
 	}
 	defer r.end()
+	if r.Fatal != nil && r.Fatal(request.RequestURI) {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	id := request.Header.Get("Lovageshift-Request-Id")
 	if fault == ReplicaForeign {
 		id = "another"
@@ -144,19 +160,20 @@
 
 func (r *Replica) begin(request *http.Request) (ReplicaFault, bool) {
 	body, _ := io.ReadAll(request.Body)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.fault == ReplicaShed || r.running >= r.Slots {
-		return r.fault, false
-	}
-	r.running++
-	r.seen = append(r.seen, Seen{
+	seen := Seen{
 		ID: request.Header.Get("Lovageshift-Request-Id"), URI: request.RequestURI, Body: string(body),
 		Tenant: request.Header.Get("Lovageshift-Tenant"), Key: request.Header.Get("Authorization"),
 		After: request.Header.Get("Last-Event-Id"), Left: request.Header.Get("Lovageshift-Deadline-Milliseconds"),
 		Arrived: time.Now(),
-	})
-	return r.fault, true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	seen.Ran = r.fault != ReplicaShed && r.running < r.Slots
+	r.arrived = append(r.arrived, seen)
+	if seen.Ran {
+		r.running++
+	}
+	return r.fault, seen.Ran
 }
 
 func (r *Replica) end() {
