Let only a keeper and its stand-in share out a cold target

Cause: an entry whose ask stays unanswered passes its keeper over for a second and asks the next one.

Ruled out: smaller parts, which would starve a cold target where its keeper answers.

Change: an entry shares out places at cold targets only if it is among the first two for the group by the entries that it hears.

Before: six entries asked give six places (test); after: two.

--- a/placement/job.go
+++ b/placement/job.go
@@ -67,7 +67,8 @@
 	done   bool
 	// promoted tells that the ticket goes first, by what its rank was guaranteed.
 	promoted bool
-	// keeper tells that this entry keeps the group, and so knows of all requests at its targets.
+	// keeper tells that this entry keeps the group or stands in for its keeper, and so knows of all requests at its
+	// targets.
 	keeper bool
 	// grant takes the target that was chosen, or the refusal; it is called once, and must not call the desk.
 	grant func(*target, *Refusal)
--- a/placement/lease.go
+++ b/placement/lease.go
@@ -33,9 +33,9 @@
 	Refusal *Refusal
 }
 
-// Ask takes in another entry's ask; a repeated one is answered as before. The later answer to an ask that waits goes
-// to decided, which must not call the desk.
-func (d *Desk) Ask(now lovageshift.Millis, from netip.Addr, id uint64, group GroupID, job *Job, decided func(Answer)) Answer {
+// Ask takes in another entry's ask, as Enter does for this entry's own; a repeated one is answered as before. The later
+// answer to an ask that waits goes to decided, which must not call the desk.
+func (d *Desk) Ask(now lovageshift.Millis, from netip.Addr, id uint64, group GroupID, keeper bool, job *Job, decided func(Answer)) Answer {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	key := leaseKey{from, id}
@@ -50,7 +50,7 @@
 	granted := &lease{job: job, at: now}
 	d.leases[key] = granted
 	inside := true
-	granted.ticket = d.enter(now, group, true, job, func(chosen *target, refusal *Refusal) {
+	granted.ticket = d.enter(now, group, keeper, job, func(chosen *target, refusal *Refusal) {
 		granted.answer = Answer{Refusal: refusal}
 		if chosen != nil {
 			granted.target = chosen
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -212,7 +212,7 @@
 	service := &catalog.Service{ID: pool, Engine: true}
 	ask := func(desk *placement.Desk, now lovageshift.Millis, id uint64) placement.Answer {
 		job := &placement.Job{Arrived: now, Until: now + 250, Objective: 500}
-		return desk.Ask(now, peer, id, desk.PickGroup(pool, 0), job, func(placement.Answer) {})
+		return desk.Ask(now, peer, id, desk.PickGroup(pool, 0), true, job, func(placement.Answer) {})
 	}
 	Convey("A repeated ask gets the same place, and its end frees it once", t, func() {
 		desk := newDesk(service, targets(1, 2)...)
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -23,6 +23,8 @@
 	maxSilent = 3
 	// How long a silent keeper is passed over.
 	avoidMillis lovageshift.Millis = 1000
+	// A group's keeper and the one that stands in for it.
+	keepersAtOnce = 2
 	// Keepers that are asked before the entry decides alone.
 	maxKeepers = 2
 )
@@ -67,7 +69,7 @@
 	for range maxKeepers {
 		keeper := c.keeperOf(group)
 		if keeper == c.peers.Self() {
-			return c.wait(ctx, group, true, job)
+			return c.wait(ctx, group, c.keeps(group), job)
 		}
 		decision, answered := c.ask(ctx, keeper, group, job)
 		if answered {
@@ -111,6 +113,10 @@
 	return best
 }
 
+// keeps reports whether this entry may be the group's keeper by the entries it hears. One that is only asked because
+// others get no answer from their keepers is not, as too many would share out a cold target then.
+func (c *Client) keeps(group placement.GroupID) bool { return c.First(string(group), keepersAtOnce) }
+
 // First reports whether this entry is among the first count for a task, by rendezvous hashing over those heard.
 func (c *Client) First(task string, count int) bool {
 	own := membership.Score(task, c.peers.Self().String())
@@ -281,10 +287,11 @@
 	for _, hash := range ask.Tried {
 		job.Tried = append(job.Tried, placement.TargetHash(hash))
 	}
+	group := placement.GroupID(ask.Group)
 	tell := func(answer placement.Answer) {
 		c.peers.Send(from, &wire.EntryPacket{Body: &wire.EntryPacket_Reply{Reply: replyOf(ask.Id, answer)}})
 	}
-	tell(c.desk.Ask(now, from, ask.Id, placement.GroupID(ask.Group), job, tell))
+	tell(c.desk.Ask(now, from, ask.Id, group, c.keeps(group), job, tell))
 }
 
 func replyOf(id uint64, answer placement.Answer) *wire.ReserveReply {
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -166,3 +166,29 @@
 		So(kept.reserve(3000).Place, ShouldNotBeNil)
 	})
 }
+
+func TestColdTargetsHaveTwoKeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("However many entries are asked, only the keeper and its stand-in share out a cold target", t, func() {
+			n, stations := newNetwork(6, 0, 0)
+			service := &catalog.Service{ID: pool, ColdPerSecond: 20}
+			cold := &catalog.Target{ID: "a", Service: pool, Slots: 100, Address: "10.0.0.1:1", ColdUntil: n.clock.Now() + 60_000}
+			view := catalog.NewView(catalog.New(1, catalog.Limits{}, []*catalog.Service{service}, nil, nil), map[lovageshift.TargetID]*catalog.Target{"a": cold}, nil)
+			placed := map[uint64]bool{}
+			n.lose = func(packet *wire.EntryPacket) bool {
+				if reply := packet.GetReply(); reply != nil && reply.State == wire.ReserveState_RESERVE_STATE_PLACED {
+					placed[reply.Id] = true
+				}
+				return false
+			}
+			_, asker := keeper(stations)
+			for number, s := range stations {
+				s.desk.SetView(n.clock.Now(), view)
+				ask := &wire.ReserveAsk{Id: uint64(number + 1), Group: "pool/0", PatienceMillis: 100, ObjectiveMillis: 500}
+				s.client.Packet(n.clock.Now(), asker.self, &wire.EntryPacket{Body: &wire.EntryPacket_Ask{Ask: ask}})
+			}
+			synctest.Wait()
+			So(len(placed), ShouldEqual, 2)
+		})
+	})
+}
