Show published configurations and recent requests to operators

`lovageshift check` takes a file that holds a published configuration, or the address of the platform's store, and prints what an entry makes of it, with the records that it would skip and without keys.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -74,9 +74,24 @@
 	return c.keys[sha256.Sum256([]byte(key))]
 }
 
+// Routes returns all routes by host and prefix.
+func (c *Catalog) Routes() []*Route {
+	var all []*Route
+	for _, list := range c.routes {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
+	})
+	return all
+}
+
 // Service returns the service with the id, or nil.
 func (c *Catalog) Service(id ServiceID) *Service { return c.services[id] }
 
+// Services returns the services by id; the map must not be changed.
+func (c *Catalog) Services() map[ServiceID]*Service { return c.services }
+
 // Accounts returns the client accounts by id; the map must not be changed.
 func (c *Catalog) Accounts() map[lovageshift.AccountID]*Account { return c.accounts }
 
--- /dev/null
+++ b/cmd/lovageshift/published.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lovageshift/catalog"
+	"lovageshift/discovery"
+	"lovageshift/platform"
+)
+
+const storeTimeout = 5 * time.Second
+
+// checkStore prints what an entry would make of the records in the store.
+func checkStore(ctx context.Context, out io.Writer, address string) error {
+	limited, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	view, changes, err := discovery.Read(limited, platform.NewStore(&http.Transport{}), address)
+	if err != nil {
+		return trace.Wrap(err, "read the store at %s", address)
+	}
+	for _, change := range changes {
+		fmt.Fprintf(out, "%s %s %s %s\n", change.What, change.Target, change.Zone, change.Detail)
+	}
+	if view.Catalog == nil {
+		return trace.NotFound("the store at %s holds no usable configuration", address)
+	}
+	printCatalog(out, view.Catalog)
+	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
+		target := view.Targets[id]
+		fmt.Fprintf(out, "target %s: %s at %s in %s, %d slots, leaving %t, cold for %d ms\n",
+			id, target.Service, target.Address, target.Zone, target.Slots, target.Draining, target.ColdFor)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(view.ZonesOut)) {
+		fmt.Fprintf(out, "zone out of service: %s\n", zone)
+	}
+	return nil
+}
+
+// checkPublished prints what an entry would make of a published configuration in a file.
+func checkPublished(out io.Writer, path string) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	read, err := platform.DecodeCatalog(content)
+	if err != nil {
+		return trace.Wrap(err, "%s", path)
+	}
+	printCatalog(out, read)
+	return nil
+}
+
+// printCatalog leaves the keys of client accounts out.
+func printCatalog(out io.Writer, c *catalog.Catalog) {
+	fmt.Fprintf(out, "version %d, headers up to %d bytes, bodies up to %d bytes\n", c.Version, c.Limits.HeaderBytes, c.Limits.BodyBytes)
+	for _, id := range slices.Sorted(maps.Keys(c.Services())) {
+		service := c.Service(id)
+		fmt.Fprintf(out, "service %s: engine %t, %d connections a target, %g requests a second while cold\n",
+			id, service.Engine, service.Connections, service.ColdPerSecond)
+	}
+	for _, route := range c.Routes() {
+		fmt.Fprintf(out, "route %s: %s%s, %s, to %s, rank %d, timeout %d ms, objective %d ms, attempts %d, anonymous %t, resumable %t\n",
+			route.ID, route.Host, route.Prefix, route.Kind, splits(route), route.Rank, route.Timeout, route.Objective,
+			route.Attempts, route.Anonymous, route.Resumable)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.Accounts())) {
+		account := c.Accounts()[id]
+		fmt.Fprintf(out, "client account %s: %d keys, rate %g, burst %g\n", id, len(account.Keys), account.Rate, account.Burst)
+	}
+}
+
+func splits(route *catalog.Route) string {
+	text := ""
+	for i, split := range route.Splits {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s (%d)", split.Service, split.Weight)
+	}
+	return text
+}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -240,17 +240,15 @@
 	t.confirmed = max(t.confirmed, sent)
 }
 
-// readAll reads every record; the watch then goes on from the first page, as the pages are no snapshot.
-func (t *Tracker) readAll(ctx context.Context) (int64, error) {
-	sent := t.clock.Suspended()
-	address := t.address()
+// readPages returns all records, and the store's revision before the first of them was read.
+func readPages(ctx context.Context, store Store, address string) ([]platform.Item, int64, error) {
 	var items []platform.Item
 	var revision int64
 	after := ""
 	for number := range maxPages {
-		page, err := t.store.Range(ctx, address, after)
+		page, err := store.Range(ctx, address, after)
 		if err != nil {
-			return 0, err
+			return nil, 0, err
 		}
 		if number == 0 {
 			revision = page.Revision
@@ -261,6 +259,27 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	return items, revision, nil
+}
+
+// Read reads the store once and returns the view that an entry would have, with what it noticed about the records.
+func Read(ctx context.Context, store Store, address string) (*catalog.View, []Change, error) {
+	items, _, err := readPages(ctx, store, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	belief := NewBelief()
+	belief.Snapshot(0, 0, items)
+	return belief.View(0), belief.Changes(), nil
+}
+
+// readAll reads every record; the watch then goes on from the first page, as the pages are no snapshot.
+func (t *Tracker) readAll(ctx context.Context) (int64, error) {
+	sent := t.clock.Suspended()
+	items, revision, err := readPages(ctx, t.store, t.address())
+	if err != nil {
+		return 0, err
+	}
 	t.answered()
 	t.belief.Snapshot(t.clock.Now(), t.storeBack, items)
 	t.publish()
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
 
+	"github.com/gravitational/trace"
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
@@ -28,6 +32,28 @@
 	return len(line), nil
 }
 
+func TestRecent(t *testing.T) {
+	Convey("The last refused and failed requests are found by id, also beyond the rate of lines", t, func() {
+		log := eventlog.New(io.Discard, "entry-1")
+		log.Info("answered", "request", "good", "status", 200, "detail", "")
+		log.Info("refused", "request", "old", "status", 503)
+		for i := range 2047 {
+			log.Info("refused", "request", fmt.Sprintf("r-%d", i), "status", 503, "detail", "shed")
+		}
+		log.Info("retry", "request", "r-2046", "reason", "targetFailing")
+		var out bytes.Buffer
+		So(log.Recent("r-2046", &out), ShouldBeNil)
+		So(strings.Count(out.String(), "\n"), ShouldEqual, 2)
+		So(out.String(), ShouldContainSubstring, `"msg":"refused","request":"r-2046","status":503,"detail":"shed"`)
+		So(strings.Index(out.String(), "refused"), ShouldBeLessThan, strings.Index(out.String(), "retry"))
+		So(log.Recent("r-0", &out), ShouldBeNil)
+		So(trace.IsNotFound(log.Recent("old", &out)), ShouldBeTrue)
+		So(errors.Is(log.Recent("good", &out), eventlog.ErrNotKept), ShouldBeTrue)
+		var none *eventlog.Log
+		So(errors.Is(none.Recent("r-0", &out), eventlog.ErrNotKept), ShouldBeTrue)
+	})
+}
+
 func TestLog(t *testing.T) {
 	Convey("A reader that stops reading holds nobody up, and what was left out is counted", t, func() {
 		out := &blocked{released: make(chan struct{})}
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -26,6 +26,7 @@
 type Log struct {
 	logger *slog.Logger
 	lines  *lines
+	recent recent
 
 	mutex sync.Mutex
 	kinds map[string]*allowedLines
@@ -53,7 +54,11 @@
 
 // Info writes one line of the kind with alternating keys and values.
 func (l *Log) Info(kind string, keysAndValues ...any) {
-	if l == nil || !l.allow(kind) {
+	if l == nil {
+		return
+	}
+	l.recent.keep(time.Now(), kind, keysAndValues)
+	if !l.allow(kind) {
 		return
 	}
 	l.logger.Info(kind, keysAndValues...)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -157,7 +157,7 @@
 }
 
 // Operators serves the metrics in the Prometheus format and a process's status as JSON.
-func (m *Metrics) Operators(status func() any) http.Handler {
+func (m *Metrics) Operators(status func() any) *mux.Router {
 	router := mux.NewRouter()
 	router.Handle("/metrics", m.handler)
 	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	"lovageshift"
+	"lovageshift/catalog"
 	"lovageshift/discovery"
 	"lovageshift/eventlog"
 	"lovageshift/exchange"
@@ -141,7 +145,7 @@
 	tasks.Go(func() error { return e.source.run(background, hangups) })
 	readiness := &http.Server{Handler: e.gateway.ReadyHandler(), ReadHeaderTimeout: operatorsHeaderTimeout}
 	tasks.Go(func() error { return serve(readiness, ready) })
-	metricsServer := &http.Server{Handler: e.counts.Operators(e.status), ReadHeaderTimeout: operatorsHeaderTimeout}
+	metricsServer := &http.Server{Handler: e.operators(), ReadHeaderTimeout: operatorsHeaderTimeout}
 	tasks.Go(func() error { return serve(metricsServer, operators) })
 	clients := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: clientHeaderTimeout, IdleTimeout: clientIdleTimeout,
@@ -190,6 +194,17 @@
 	return net.JoinHostPort(settings.Host, strconv.Itoa(int(settings.PeerPort+offset)))
 }
 
+// operators serves metrics, status, and what became of a request lately.
+func (e *directEntry) operators() http.Handler {
+	router := e.counts.Operators(e.status)
+	router.HandleFunc("/requests/{request}", func(w http.ResponseWriter, r *http.Request) {
+		if err := e.log.Recent(mux.Vars(r)["request"], w); err != nil {
+			http.Error(w, err.Error(), trace.ErrorToCode(err))
+		}
+	})
+	return router
+}
+
 // directStatus is what operators see of a direct entry.
 type directStatus struct {
 	Name          lovageshift.EntryID  `json:"name"`
@@ -197,6 +212,20 @@
 	ViewAgeMillis lovageshift.Millis   `json:"viewAgeMillis"`
 	Ready         bool                 `json:"ready"`
 	LogLeftOut    int64                `json:"logLinesLeftOut"`
+	Routes        int                  `json:"routes"`
+	Accounts      int                  `json:"accounts"`
+	ZonesOut      []lovageshift.ZoneID `json:"zonesOut"`
+	Targets       []targetStatus       `json:"targets"`
+}
+
+// targetStatus is what operators see of a target.
+type targetStatus struct {
+	ID            lovageshift.TargetID `json:"id"`
+	Service       catalog.ServiceID    `json:"service"`
+	Zone          lovageshift.ZoneID   `json:"zone"`
+	Address       string               `json:"address"`
+	Leaving       bool                 `json:"leaving"`
+	ColdForMillis lovageshift.Millis   `json:"coldForMillis"`
 }
 
 func (e *directEntry) status() any {
@@ -204,11 +233,24 @@
 		Name: e.settings.Name, ViewAgeMillis: e.tracker.Age(), Ready: e.gateway.Ready(), LogLeftOut: e.log.LeftOut(),
 	}
 	if view := e.tracker.View(); view != nil {
-		status.Version = view.Catalog.Version
+		status.describe(view, e.clock.Now())
 	}
 	return status
 }
 
+func (s *directStatus) describe(view *catalog.View, now lovageshift.Millis) {
+	s.Version = view.Catalog.Version
+	s.Routes, s.Accounts = len(view.Catalog.Routes()), len(view.Catalog.Accounts())
+	s.ZonesOut = slices.Sorted(maps.Keys(view.ZonesOut))
+	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
+		target := view.Targets[id]
+		s.Targets = append(s.Targets, targetStatus{
+			ID: id, Service: target.Service, Zone: target.Zone, Address: target.Address,
+			Leaving: target.Draining, ColdForMillis: max(target.ColdUntil-now, 0),
+		})
+	}
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
