--- a/gateway/run.go
+++ b/gateway/run.go
@@ -63,7 +63,7 @@
 	}
 	g.counts.Retried(next.refusal.Reason)
 	g.log.Info("retry", "request", r.ask.ID, "reason", next.refusal.Reason, "outcome", next.refusal.Outcome.String(),
-		"tried", len(r.job.Tried), "detail", next.refusal.Detail)
+		"tried", len(r.job.Tried), "detail", oneLine(next.refusal.Detail))
 	r.job.Until = max(r.job.Until, g.clock.Now()+r.job.Objective/4)
 	return true
 }
--- a/gateway/story.go
+++ b/gateway/story.go
@@ -39,14 +39,16 @@
 	s.lastEvent = now
 }
 
+// oneLine joins the lines in which wrapped errors come.
+func oneLine(detail string) string { return strings.ReplaceAll(detail, "\n\t", "; ") }
+
 // tell writes the one line with which a request ends.
 func (r *request) tell(outcome, detail string) {
 	g := r.gateway
 	if detail == "" {
 		detail = r.story.detail
 	}
-	// Wrapped errors come in several lines.
-	detail = strings.ReplaceAll(detail, "\n\t", "; ")
+	detail = oneLine(detail)
 	var route lovageshift.RouteID
 	var rank lovageshift.Rank
 	if r.route != nil {
