--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 		suspects:   newSuspects(options.Log),
 		revocation: options.Revocation,
 	}
-	g.places = reservation.NewClient(g.desk, options.Clock, options.Log, options.Metrics)
+	g.places = reservation.NewClient(g.desk, options.Clock, options.Log)
 	options.Tracker.OnChange(g.changed)
 	return g
 }
--- a/membership/rendezvous.go
+++ b/membership/rendezvous.go
@@ -20,11 +20,16 @@
 
 // Owner returns the target with the highest score for the key, or "" of none.
 func Owner(key string, targets []lovageshift.TargetID) lovageshift.TargetID {
-	var owner lovageshift.TargetID
+	return OwnerOf(key, targets, func(target lovageshift.TargetID) string { return string(target) })
+}
+
+// OwnerOf returns the member with the highest score for the key, by the members' names, or the zero value of none.
+func OwnerOf[M any](key string, members []M, name func(M) string) M {
+	var owner M
 	var best uint64
-	for _, target := range targets {
-		if score := Score(key, string(target)); owner == "" || score > best {
-			owner, best = target, score
+	for i, member := range members {
+		if score := Score(key, name(member)); i == 0 || score > best {
+			owner, best = member, score
 		}
 	}
 	return owner
--- a/placement/desk.go
+++ b/placement/desk.go
@@ -137,7 +137,7 @@
 	clear(d.groups)
 	for id, have := range d.targets {
 		if view.MaySend(id, have.Born) {
-			group := groupOf(d.byName[have.Service], id)
+			group := membership.OwnerOf(string(id), d.byName[have.Service], func(g GroupID) string { return string(g) })
 			d.groups[group] = append(d.groups[group], have)
 		}
 	}
@@ -146,17 +146,6 @@
 	}
 }
 
-func groupOf(groups []GroupID, id lovageshift.TargetID) GroupID {
-	best := groups[0]
-	var highest uint64
-	for _, group := range groups {
-		if score := membership.Score(string(group), string(id)); score > highest {
-			best, highest = group, score
-		}
-	}
-	return best
-}
-
 // Running returns this entry's requests at each target that has some.
 func (d *Desk) Running() map[TargetHash]int {
 	d.mutex.Lock()
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"lovageshift"
 	"lovageshift/eventlog"
 	"lovageshift/membership"
-	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/wire"
 )
@@ -38,11 +38,10 @@
 
 // Client asks keepers for places, and answers those who ask this entry.
 type Client struct {
-	desk   *placement.Desk
-	clock  lovageshift.Clock
-	log    *eventlog.Log
-	counts *metrics.Metrics
-	peers  Peers
+	desk  *placement.Desk
+	clock lovageshift.Clock
+	log   *eventlog.Log
+	peers Peers
 
 	mutex   sync.Mutex
 	next    uint64
@@ -51,9 +50,9 @@
 }
 
 // NewClient returns a client of the entry with the desk; SetPeers must be called before the first request.
-func NewClient(desk *placement.Desk, clock lovageshift.Clock, log *eventlog.Log, counts *metrics.Metrics) *Client {
+func NewClient(desk *placement.Desk, clock lovageshift.Clock, log *eventlog.Log) *Client {
 	return &Client{
-		desk: desk, clock: clock, log: log, counts: counts,
+		desk: desk, clock: clock, log: log,
 		next:    rand.Uint64(),
 		waiting: map[uint64]chan *wire.ReserveReply{},
 		avoided: map[netip.Addr]lovageshift.Millis{},
@@ -104,13 +103,8 @@
 func (c *Client) keeperOf(group placement.GroupID) netip.Addr {
 	now := c.clock.Now()
 	self := c.peers.Self()
-	best, highest := self, membership.Score(string(group), self.String())
-	for _, address := range c.peers.Heard() {
-		if score := membership.Score(string(group), address.String()); score > highest && !c.avoids(now, address) {
-			best, highest = address, score
-		}
-	}
-	return best
+	heard := slices.DeleteFunc(c.peers.Heard(), func(address netip.Addr) bool { return c.avoids(now, address) })
+	return membership.OwnerOf(string(group), append(heard, self), netip.Addr.String)
 }
 
 // keeps reports whether this entry may be the group's keeper by the entries it hears. One that is only asked because
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -13,7 +13,6 @@
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/membership"
-	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/reservation"
 	"lovageshift/wire"
@@ -62,8 +61,6 @@
 
 func newNetwork(count, targets, slots int) (*network, []*station) {
 	n := &network{clients: map[netip.Addr]*reservation.Client{}, clock: lovageshift.NewClock()}
-	counts, err := metrics.New()
-	So(err, ShouldBeNil)
 	known := map[lovageshift.TargetID]*catalog.Target{}
 	for i := range targets {
 		id := lovageshift.TargetID(rune('a' + i))
@@ -75,7 +72,7 @@
 		s := &station{network: n, self: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), desk: placement.NewDesk(placement.Bounds{})}
 		s.desk.SetEntries(count, count)
 		s.desk.SetView(n.clock.Now(), view)
-		s.client = reservation.NewClient(s.desk, n.clock, nil, counts)
+		s.client = reservation.NewClient(s.desk, n.clock, nil)
 		s.client.SetPeers(s)
 		n.clients[s.self] = s.client
 		stations = append(stations, s)
@@ -147,7 +144,7 @@
 		n, stations := newNetwork(3, 1, 4)
 		kept, other := keeper(stations)
 		n.mutex.Lock()
-		n.clients[kept.self] = reservation.NewClient(placement.NewDesk(placement.Bounds{}), n.clock, nil, nil)
+		n.clients[kept.self] = reservation.NewClient(placement.NewDesk(placement.Bounds{}), n.clock, nil)
 		n.clients[kept.self].SetPeers(&station{network: &network{}, self: kept.self})
 		n.mutex.Unlock()
 		So(other.reserve(500).Place, ShouldNotBeNil)
