--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -137,7 +137,7 @@
 	request, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
 	So(err, ShouldBeNil)
 	request.Host = "h"
-	request.Header.Set("Lovageshift-Request-Id", id)
+	request.Header.Set(standin.HeaderRequestID, id)
 	request.Header.Set("Authorization", "Token "+key)
 	request.Header.Set("Lovageshift-Tenant", "forged")
 	request.Header.Set("Lovageshift-Hold", "forged")
@@ -175,7 +175,7 @@
 		})
 		So(got.status, ShouldEqual, 200)
 		So(got.body, ShouldEqual, "done by i-1")
-		So(got.header.Get("Lovageshift-Response-Seal"), ShouldEqual, "seal-i-1")
+		So(got.header.Get(standin.HeaderSignature), ShouldEqual, "seal-i-1")
 		So(s.ran(), ShouldHaveLength, 1)
 		seen := s.ran()[0]
 		So(seen.URI, ShouldEqual, "/book/a%2Fb//c?q=%20x")
@@ -205,7 +205,7 @@
 		So(s.send("r2", "GET", "/read/x", "", unknown).status, ShouldEqual, 401)
 		So(s.send("r3", "GET", "/open/x", "", unknown).status, ShouldEqual, 200)
 		So(s.send("r4", "POST", "/book/x", strings.Repeat("x", 65)).status, ShouldEqual, 413)
-		nameless := func(r *http.Request) { r.Header.Del("Lovageshift-Request-Id") }
+		nameless := func(r *http.Request) { r.Header.Del(standin.HeaderRequestID) }
 		So(s.send("", "GET", "/read/x", "", nameless).status, ShouldEqual, 400)
 		So(s.ran(), ShouldHaveLength, 1)
 	})
--- a/peer/suspects.go
+++ b/peer/suspects.go
@@ -13,7 +13,7 @@
 func (n *Node) SetQuarantine(lifetime lovageshift.Millis) {
 	n.suspectMutex.Lock()
 	defer n.suspectMutex.Unlock()
-	n.suspects.SetLifetime(lifetime)
+	n.suspects.SetMaxAge(lifetime)
 }
 
 // Crashed counts a crash against fingerprints and wakes those who pass suspects on.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -29,7 +29,7 @@
 
 // Register holds the suspects that one process knows of, newest last; times are milliseconds of its clock.
 type Register struct {
-	lifetime lovageshift.Millis
+	maxAge lovageshift.Millis
 	// crashesToRefuse is after how many crashes a suspect is refused.
 	crashesToRefuse int
 	suspects        map[lovageshift.Fingerprint]*list.Element
@@ -42,17 +42,17 @@
 	at          lovageshift.Millis
 }
 
-// NewRegister returns an empty register whose suspects age out after lifetime milliseconds and are refused after so
+// NewRegister returns an empty register whose suspects are forgotten after maxAge and refused after so
 // many crashes.
-func NewRegister(lifetime lovageshift.Millis, crashesToRefuse int) *Register {
+func NewRegister(maxAge lovageshift.Millis, crashesToRefuse int) *Register {
 	return &Register{
-		lifetime: lifetime, crashesToRefuse: crashesToRefuse,
+		maxAge: maxAge, crashesToRefuse: crashesToRefuse,
 		suspects: map[lovageshift.Fingerprint]*list.Element{}, order: list.New(),
 	}
 }
 
-// SetLifetime changes after how many milliseconds suspects age out.
-func (r *Register) SetLifetime(lifetime lovageshift.Millis) { r.lifetime = lifetime }
+// SetMaxAge changes after which time suspects are forgotten.
+func (r *Register) SetMaxAge(maxAge lovageshift.Millis) { r.maxAge = maxAge }
 
 // Crash counts one more crash against a fingerprint and returns its suspect.
 func (r *Register) Crash(now lovageshift.Millis, fingerprint lovageshift.Fingerprint) Suspect {
@@ -68,7 +68,7 @@
 // Learn takes in a suspect from another process and reports whether it was news.
 func (r *Register) Learn(now lovageshift.Millis, suspect Suspect) bool {
 	r.forget(now)
-	if suspect.Age >= r.lifetime || suspect.Crashes <= 0 {
+	if suspect.Age >= r.maxAge || suspect.Crashes <= 0 {
 		return false
 	}
 	at := now - suspect.Age
@@ -123,7 +123,7 @@
 func (r *Register) forget(now lovageshift.Millis) {
 	for element := r.order.Front(); element != nil; { // at most maxSuspects
 		next := element.Next()
-		if now-element.Value.(*entry).at >= r.lifetime {
+		if now-element.Value.(*entry).at >= r.maxAge {
 			r.drop(element)
 		}
 		element = next
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -77,10 +77,10 @@
 		r.site.store.Compact()
 	case KeyWithdrawn:
 		r.site.withdraw()
-	case AllowanceLowered:
-		r.site.setAllowance(smallRate/lowered, smallBurst/lowered)
+	case QuotaLowered:
+		r.site.setQuota(smallRate/lowered, smallBurst/lowered)
 		last()
-		r.site.setAllowance(smallRate, smallBurst)
+		r.site.setQuota(smallRate, smallBurst)
 	case ZoneOut:
 		zone := zones[fault.Variant%len(zones)]
 		r.site.takeOut(zone, true)
--- a/soak/history.go
+++ b/soak/history.go
@@ -46,16 +46,16 @@
 	// Ends are processes that ended by themselves, and Races reports of the race detector.
 	Ends  []string
 	Races []string
-	// Withdrawn holds when keys went, Limits the small account's allowance, ZonesOut zones out of service.
+	// Withdrawn holds when keys went, Limits the small account's quota, ZonesOut zones out of service.
 	Withdrawn map[string]lovageshift.Millis
-	Limits    []Allowance
+	Limits    []Quota
 	ZonesOut  map[string][]Span
 	// Calm is when the last trouble was over and recovery was due; 0 if the run ended before.
 	Calm lovageshift.Millis
 }
 
-// Allowance is an account's allowance in tokens from a moment on.
-type Allowance struct {
+// Quota is an account's quota in tokens from a moment on.
+type Quota struct {
 	From  lovageshift.Millis
 	Rate  float64
 	Burst float64
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -23,7 +23,7 @@
 	ZonesLeft        Promise = "a zone that was taken out of service gets nothing after its time"
 	LeavingTargets   Promise = "a target that leaves gets nothing after its time"
 	ColdTargets      Promise = "cold targets get no more requests than they bear"
-	Allowances       Promise = "an account gets no more than its allowance"
+	Quotas           Promise = "an account gets no more than its quota"
 	RetryBudget      Promise = "second arrivals stay in the budget"
 	FatalRequests    Promise = "a request that crashes targets is stopped"
 	NoneLost         Promise = "a stop or a reload loses no request that was passed on"
@@ -76,7 +76,7 @@
 func Judge(h *History) []Finding {
 	j := &judge{History: h, byID: h.attempts(), runs: h.arrivals(), count: map[Promise]int{}}
 	for _, check := range []func(){
-		j.ends, j.once, j.refusals, j.unchanged, j.answers, j.streams, j.keys, j.zones, j.leaving, j.cold, j.allowance,
+		j.ends, j.once, j.refusals, j.unchanged, j.answers, j.streams, j.keys, j.zones, j.leaving, j.cold, j.quota,
 		j.budget, j.fatal, j.lost, j.late, j.denied, j.served,
 	} {
 		check()
@@ -249,7 +249,7 @@
 	}
 }
 
-func (j *judge) allowance() {
+func (j *judge) quota() {
 	type taken struct{ sent, at lovageshift.Millis }
 	var all []taken
 	for _, arrival := range j.Arrivals {
@@ -266,7 +266,7 @@
 			}
 		}
 		if most := j.most(start.sent); float64(tokens) > most {
-			j.add(Allowances, "%d tokens of %.0f ran in the window from %d ms", tokens, most, start.sent)
+			j.add(Quotas, "%d tokens of %.0f ran in the window from %d ms", tokens, most, start.sent)
 			return
 		}
 	}
@@ -276,10 +276,10 @@
 // once entries had a window's time to apply it.
 func (j *judge) most(from lovageshift.Millis) float64 {
 	most := 0.0
-	for i, allowance := range j.Limits {
+	for i, quota := range j.Limits {
 		replaced := i+1 < len(j.Limits) && j.Limits[i+1].From+applyMillis+contactMillis+quotaWindow < from
-		if !replaced && allowance.From <= from+quotaWindow {
-			most = max(most, (allowance.Rate*quotaWindow.Seconds()+allowance.Burst)*(1+quotaOvershoot)+quotaSlack)
+		if !replaced && quota.From <= from+quotaWindow {
+			most = max(most, (quota.Rate*quotaWindow.Seconds()+quota.Burst)*(1+quotaOvershoot)+quotaSlack)
 		}
 	}
 	return most
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -113,12 +113,12 @@
 		So(judged(many("/read/", 40, 100, cold)), ShouldBeEmpty)
 		So(judged(many("/read/", 40, 20, cold)), ShouldContain, soak.ColdTargets)
 	})
-	Convey("An account's allowance is counted over all entries", t, func() {
+	Convey("An account's quota is counted over all entries", t, func() {
 		small := func(a *soak.Attempt, r *soak.Arrival) { a.Account, r.Tenant = "small", "small" }
 		h := many("/read/", 300, 20, small)
-		h.Limits = []soak.Allowance{{Rate: 400, Burst: 800}}
-		So(judged(h), ShouldContain, soak.Allowances)
-		h.Limits = []soak.Allowance{{Rate: 2000, Burst: 800}}
+		h.Limits = []soak.Quota{{Rate: 400, Burst: 800}}
+		So(judged(h), ShouldContain, soak.Quotas)
+		h.Limits = []soak.Quota{{Rate: 2000, Burst: 800}}
 		So(judged(h), ShouldBeEmpty)
 	})
 	Convey("Second arrivals are bounded", t, func() {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,7 +38,7 @@
 	StoreSilent      Kind = "storeSilent"
 	StoreForgets     Kind = "storeForgets"
 	KeyWithdrawn     Kind = "keyWithdrawn"
-	AllowanceLowered Kind = "allowanceLowered"
+	QuotaLowered     Kind = "quotaLowered"
 	ZoneOut          Kind = "zoneOut"
 	FatalRequest     Kind = "fatalRequest"
 )
@@ -47,7 +47,7 @@
 	EntryKilled, EntryStopped, EntryPaused, EntryReloaded, AllKilled, StoreLinkRefused, StoreLinkHeld, StoreLinkOneWay,
 	StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow, TargetKilled, TargetReset, TargetHeld, TargetOneWay,
 	TargetSilent, TargetSlow, TargetMisbehaves, TargetLeaves, TargetLapses, TargetCold, StoreFails, StoreSilent,
-	StoreForgets, KeyWithdrawn, AllowanceLowered, ZoneOut, FatalRequest,
+	StoreForgets, KeyWithdrawn, QuotaLowered, ZoneOut, FatalRequest,
 }
 
 // Fault is one thing that goes wrong, or that the operator does.
--- a/soak/site.go
+++ b/soak/site.go
@@ -30,7 +30,7 @@
 
 	smallRate  = 400.0 // tokens a second
 	smallBurst = 800.0 // tokens
-	// What a lowered allowance is divided by.
+	// What a lowered quota is divided by.
 	lowered = 4
 )
 
@@ -49,7 +49,7 @@
 	lapses  map[string]lovageshift.Millis // key of a record to when the store drops it
 	// What the operator did, for the checks.
 	withdrawn map[string]lovageshift.Millis
-	limits    []Allowance
+	limits    []Quota
 	zonesOut  map[string][]Span
 }
 
@@ -92,7 +92,7 @@
 		},
 		Limits: standin.CatalogLimits{BodyBytes: bodyLimit, HeaderBytes: headerLimit},
 	}
-	s.limits = []Allowance{{0, smallRate, smallBurst}}
+	s.limits = []Quota{{0, smallRate, smallBurst}}
 	return s, nil
 }
 
@@ -223,15 +223,15 @@
 	return s.catalog.Accounts[0].Keys[1]
 }
 
-// setAllowance changes the allowance of the small account.
-func (s *site) setAllowance(rate, burst float64) {
+// setQuota changes the quota of the small account.
+func (s *site) setQuota(rate, burst float64) {
 	s.publish(func(c *standin.Catalog) {
 		c.Accounts = slices.Clone(c.Accounts)
 		c.Accounts[1].Rate, c.Accounts[1].Burst = rate, burst
 	})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.limits = append(s.limits, Allowance{s.clock.Now(), rate, burst})
+	s.limits = append(s.limits, Quota{s.clock.Now(), rate, burst})
 }
 
 // takeOut takes an availability zone out of service, or back.
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -51,7 +51,7 @@
 	}
 	request.Host = ask.Host
 	request.ContentLength = int64(len(ask.Body))
-	request.Header.Set("Lovageshift-Request-Id", ask.ID)
+	request.Header.Set(HeaderRequestID, ask.ID)
 	request.Header.Set("Authorization", keyPrefix+ask.Key)
 	request.Header.Set("Lovageshift-Token-Counts", fmt.Sprintf("%d,%d", ask.Prompt, ask.Output))
 	if ask.WaitMillis > 0 {
@@ -64,8 +64,8 @@
 	defer func() { _ = response.Body.Close() }()
 	reply := Reply{
 		Status: response.StatusCode,
-		Signed: response.Header.Get("Lovageshift-Response-Seal") != "",
-		ID:     response.Header.Get("Lovageshift-Request-Id"),
+		Signed: response.Header.Get(HeaderSignature) != "",
+		ID:     response.Header.Get(HeaderRequestID),
 	}
 	reply.read(response)
 	return reply
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -131,13 +131,13 @@
 		r.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	id := request.Header.Get("Lovageshift-Request-Id")
+	id := request.Header.Get(HeaderRequestID)
 	if fault == ReplicaForeign {
 		id = "another"
 	}
-	header.Set("Lovageshift-Request-Id", id)
+	header.Set(HeaderRequestID, id)
 	if fault != ReplicaUnsigned {
-		header.Set("Lovageshift-Response-Seal", "seal-"+r.ID)
+		header.Set(HeaderSignature, "seal-"+r.ID)
 	}
 	switch fault {
 	case ReplicaReset:
@@ -161,7 +161,7 @@
 func (r *Replica) begin(request *http.Request) (ReplicaFault, bool) {
 	body, _ := io.ReadAll(request.Body)
 	seen := Seen{
-		ID: request.Header.Get("Lovageshift-Request-Id"), URI: request.RequestURI, Body: string(body),
+		ID: request.Header.Get(HeaderRequestID), URI: request.RequestURI, Body: string(body),
 		Tenant: request.Header.Get("Lovageshift-Tenant"), Key: request.Header.Get("Authorization"),
 		After: request.Header.Get("Last-Event-Id"), Left: request.Header.Get("Lovageshift-Deadline-Milliseconds"),
 		Arrived: time.Now(),
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -17,10 +17,14 @@
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/metrics"
+	"lovageshift/standin"
 	"lovageshift/upstream"
 )
 
-const head = "HTTP/1.1 200 OK\r\nLovageshift-Request-Id: r1\r\nLovageshift-Response-Seal: s\r\n"
+const (
+	signed = "HTTP/1.1 200 OK\r\n" + standin.HeaderSignature + ": s\r\n"
+	head   = signed + standin.HeaderRequestID + ": r1\r\n"
+)
 
 // script is a target that answers each request on a connection with the next of its texts; "" closes the connection.
 type script struct {
@@ -107,7 +111,7 @@
 		"none":                            {"", "", upstream.ErrBroken},
 		"no HTTP":                         {"hello\r\n\r\n", "", upstream.ErrGarbage},
 		"a success without its signature": {"HTTP/1.1 200 OK\r\nLovageshift-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok", "", upstream.ErrGarbage},
-		"a success without its request":   {"HTTP/1.1 200 OK\r\nLovageshift-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok", "", upstream.ErrGarbage},
+		"a success without its request":   {signed + "Content-Length: 2\r\n\r\nok", "", upstream.ErrGarbage},
 		"an encoded body":                 {head + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", "", upstream.ErrGarbage},
 		"only answers to other requests":  {strings.Repeat("HTTP/1.1 200 OK\r\nLovageshift-Request-Id: r0\r\nContent-Length: 0\r\n\r\n", 3), "", upstream.ErrGarbage},
 	}
