--- a/soak/judge.go
+++ b/soak/judge.go
@@ -65,7 +65,6 @@
 	deniedOneIn                             = 500
 	lateSlack                               = 8
 	lateOneIn                               = 4
-	lostSlack                               = 0
 	servedOneIn                             = 4
 	statusClassDivisor                      = 100
 	clientErrorClass                        = 4
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -149,7 +150,7 @@
 				return nil
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite()
 			return nil
 		}
--- a/soak/site.go
+++ b/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -127,26 +128,19 @@
 		s.drop()
 		for _, p := range s.places {
 			if p.vacant() {
-				err = errorsFirst(err, s.begin(p, true))
+				err = errors.Join(err, s.begin(p, true))
 			}
 		}
 	})
 	for _, p := range s.places {
-		p.update(func(*life) { _ = p.server.Close() })
+		p.end(false)
 	}
 	_ = server.Close()
-	return errorsFirst(err, s.tasks.Wait())
-}
-
-func errorsFirst(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
+	return errors.Join(err, s.tasks.Wait())
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
