--- a/soak/entry.go
+++ b/soak/entry.go
@@ -35,6 +35,7 @@
 	process *os.Process
 	killed  bool // the next end of the process is ours
 	stopped bool // the process was told to stop and shall end well
+	ready   bool // the process has said that it is ready
 	ends    []string
 	offered bool // the balancer sends it new connections
 }
@@ -71,14 +72,16 @@
 func (e *entry) begun(process *os.Process) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.process, e.killed, e.stopped = process, false, false
+	e.process, e.killed, e.stopped, e.ready = process, false, false, false
 }
 
 func (e *entry) ended(err error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.process = nil
-	if !e.killed && (err != nil || !e.stopped) {
+	// A process that is told to stop before it serves anything may end by the signal itself.
+	asTold := e.stopped && (err == nil || !e.ready)
+	if !e.killed && !asTold {
 		e.ends = append(e.ends, fmt.Sprintf("%s ended by itself: %v", e.machine.Name, err))
 	}
 }
@@ -124,6 +127,7 @@
 		}
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
+		e.ready = e.ready || misses == 0
 		e.offered = misses < readyMisses && (e.offered || misses == 0)
 	})
 	return nil
