--- a/process/gateway.go
+++ b/process/gateway.go
@@ -241,7 +241,7 @@
 func (s *directStatus) describe(view *catalog.View, now lovageshift.Millis) {
 	s.Version = view.Catalog.Version
 	s.Routes, s.Accounts = len(view.Catalog.Routes()), len(view.Catalog.Accounts())
-	s.ZonesOut = slices.Sorted(maps.Keys(view.ZonesOut))
+	s.ZonesOut = append([]lovageshift.ZoneID{}, slices.Sorted(maps.Keys(view.ZonesOut))...)
 	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
 		target := view.Targets[id]
 		s.Targets = append(s.Targets, targetStatus{
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -99,3 +99,9 @@
 		r.Writers = append(r.Writers, strings.TrimSpace(writer))
 	}
 }
+
+// Curl returns a command line that sends the request to the address.
+func (a Ask) Curl(address string) string {
+	return fmt.Sprintf("curl -N -X %s http://%s%s -H 'Host: %s' -H '%s: %s' -H 'Authorization: %s%s'",
+		a.Method, address, a.Path, a.Host, HeaderRequestID, a.ID, keyPrefix, a.Key)
+}
--- a/try/run.go
+++ b/try/run.go
@@ -121,11 +121,14 @@
 	return err
 }
 
-func ready() bool {
+func ready() bool { return answers("http://" + callers + "/readyz") }
+
+// answers tells whether the page is there and says that all is well.
+func answers(url string) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true,
 	}}
-	response, err := client.Get("http://" + callers + "/readyz")
+	response, err := client.Get(url)
 	if err != nil {
 		return false
 	}
