--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -293,6 +293,26 @@
 			}
 		}
 	})
+	Convey("An unsafe request whose target broke off runs nowhere else, even if all targets do so", t, func() {
+		s := newSite(plain("i-1"), plain("i-2"))
+		defer s.stop()
+		for _, replica := range s.replicas {
+			replica.SetFault(standin.ReplicaReset)
+		}
+		for i := range 4 {
+			id := fmt.Sprintf("u%d", i)
+			got := s.send(id, "POST", "/book/x", "")
+			runs := 0
+			for _, seen := range s.ran() {
+				if seen.ID == id {
+					runs++
+				}
+			}
+			// The targets may rest after they broke off; then the request runs nowhere.
+			So(runs, ShouldEqual, map[int]int{502: 1, 503: 0}[got.status])
+		}
+		So(s.ran(), ShouldNotBeEmpty)
+	})
 	Convey("What may have run at one target is not called not run because another had no room", t, func() {
 		s := newSite(plain("i-1"), plain("i-2"))
 		defer s.stop()
