--- a/soak/run.go
+++ b/soak/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
@@ -48,6 +49,8 @@
 	firstNetwork = 32
 	lastNetwork  = 250
 	settingsMode = 0o600
+	// Two connections through a proxy have four ends here, or three with the other end in an entry; some are closing.
+	descriptorsPerLink = 6
 )
 
 // run is one run with all that belongs to it.
@@ -62,8 +65,12 @@
 	troubles []Trouble
 }
 
-// Run plays the faults of a seed and returns the history.
+// Run plays the faults of a seed and returns the history, or trace.LimitExceeded if the run is too large for the
+// descriptors that this process may open.
 func Run(ctx context.Context, options Options) (*History, error) {
+	if err := checkSize(options); err != nil {
+		return nil, err
+	}
 	network, guard, err := freeNetwork()
 	if err != nil {
 		return nil, err
@@ -79,6 +86,20 @@
 	return r.play(ctx)
 }
 
+// checkSize compares the connections that a run may open, all of which pass this process, with its descriptors.
+func checkSize(options Options) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return trace.Wrap(err)
+	}
+	needed := options.Entries * (options.Targets + options.Callers/2) * descriptorsPerLink
+	if uint64(needed) > limit.Cur {
+		return trace.LimitExceeded("%d entries, %d targets and %d callers may need %d descriptors of %d",
+			options.Entries, options.Targets, options.Callers, needed, limit.Cur)
+	}
+	return nil
+}
+
 // freeNetwork finds a loopback network that no other run uses; the listener returned keeps it.
 func freeNetwork() (string, net.Listener, error) {
 	for number := firstNetwork; number <= lastNetwork; number++ {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/gravitational/trace"
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
@@ -52,6 +53,15 @@
 	})
 }
 
+func TestTooLargeRunIsRefused(t *testing.T) {
+	Convey("A run that needs more descriptors than there can be says so", t, func() {
+		options := soak.DefaultOptions()
+		options.Entries = 1 << 32
+		_, err := soak.Run(context.Background(), options)
+		So(trace.IsLimitExceeded(err), ShouldBeTrue)
+	})
+}
+
 func TestPlansOfASeedAreTheSame(t *testing.T) {
 	Convey("A seed gives the same faults each time, and another seed others", t, func() {
 		So(soak.NewPlan(7, 14_000), ShouldResemble, soak.NewPlan(7, 14_000))
