Keep entries' news small however many there are

Change: the time that is returned goes to its receiver only, behind the part that is the same for all; a message names 24 members, others each time.

Among 200 entries a message has under 256 bytes (test).

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"lovageshift"
 	"lovageshift/exchange"
@@ -85,6 +86,47 @@
 	return e
 }
 
+func TestMessagesStaySmall(t *testing.T) {
+	Convey("Among 200 entries a message names some of them, and returns to each its own time", t, func() {
+		port := freePort()
+		e := newEntry(port, "127.0.0.1")
+		defer e.stop()
+		var sockets []net.PacketConn
+		for number := range 200 {
+			address := netip.AddrFrom4([4]byte{127, 0, 5, byte(number + 1)})
+			socket, err := net.ListenPacket("udp4", netip.AddrPortFrom(address, port).String())
+			So(err, ShouldBeNil)
+			defer func() { _ = socket.Close() }()
+			sockets = append(sockets, socket)
+		}
+		to := net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port))
+		tell := func(number int) {
+			news := &wire.EntryNews{Incarnation: uint64(number + 1), Sequence: 1, SentAt: uint64(1000 + number)}
+			content, err := proto.Marshal(&wire.EntryPacket{Body: &wire.EntryPacket_News{News: news}})
+			So(err, ShouldBeNil)
+			_, err = sockets[number].WriteTo(content, to)
+			So(err, ShouldBeNil)
+		}
+		for number := range sockets {
+			tell(number)
+		}
+		So(e.knows(func(s *state) bool { return len(s.heard) == len(sockets) }), ShouldBeTrue)
+		buffer := make([]byte, 16<<10)
+		for number, socket := range sockets {
+			// The first messages may have been sent before all were heard.
+			for range 3 {
+				size, _, err := socket.ReadFrom(buffer)
+				So(err, ShouldBeNil)
+				So(size, ShouldBeLessThan, 256)
+				packet := &wire.EntryPacket{}
+				So(proto.Unmarshal(buffer[:size], packet), ShouldBeNil)
+				So(packet.EchoedAt, ShouldBeIn, uint64(0), uint64(1000+number))
+				So(packet.GetNews().Sequence, ShouldBeGreaterThan, 0)
+			}
+		}
+	})
+}
+
 func freePort() uint16 {
 	packets, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	So(err, ShouldBeNil)
--- a/exchange/members.go
+++ b/exchange/members.go
@@ -12,6 +12,8 @@
 	silentMillis lovageshift.Millis = 700
 	// An entry that was not heard for so long is no longer counted, if most others are heard.
 	goneMillis lovageshift.Millis = 12_000
+	// Members that one message names, so that messages do not grow with their number.
+	maxNamed = 24
 )
 
 // member is another entry.
@@ -92,10 +94,13 @@
 	}
 }
 
-// lately returns the addresses of members heard within the time that they count.
+// lately returns the addresses of some members heard within the time that they count, others each time.
 func (m *members) lately(now lovageshift.Millis) []netip.Addr {
 	var addresses []netip.Addr
-	for address, other := range m.others {
+	for address, other := range m.others { // in another order each time
+		if len(addresses) == maxNamed {
+			break
+		}
 		if other.heard > 0 && now-other.heard < goneMillis/2 && !other.leaving {
 			addresses = append(addresses, address)
 		}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -187,14 +187,9 @@
 		news.Members = append(news.Members, number(address))
 	}
 	news.SentAt = uint64(n.clock.Suspended())
+	heard := make(map[netip.Addr]uint64, len(n.members.others))
 	for address, other := range n.members.others {
-		if other.sentAt > 0 {
-			news.Echoes = append(news.Echoes, &wire.Echo{Member: number(address), SentAt: other.sentAt})
-		}
-	}
-	targets := make([]netip.Addr, 0, len(n.members.others))
-	for address := range n.members.others {
-		targets = append(targets, address)
+		heard[address] = other.sentAt
 	}
 	n.members.expire(now)
 	census := n.members.census(now)
@@ -205,11 +200,20 @@
 		n.log.Info("datagramNotSent", "error", err.Error())
 		return
 	}
-	for _, address := range targets {
-		n.write(address, content)
+	for address, sentAt := range heard {
+		n.write(address, append(content[:len(content):len(content)], echo(sentAt)...))
 	}
 }
 
+// echo returns the part of a message that differs from receiver to receiver; encoded fields may follow each other.
+func echo(sentAt uint64) []byte {
+	content, err := proto.Marshal(&wire.EntryPacket{EchoedAt: sentAt})
+	if err != nil {
+		panic(err) // a number always has an encoding
+	}
+	return content
+}
+
 func (n *Node) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -234,7 +238,7 @@
 		}
 		n.counts.Add(metrics.PeerMessages, "received", 1)
 		if news := packet.GetNews(); news != nil {
-			n.take(address, news)
+			n.take(address, news, n.echoed(packet.EchoedAt))
 			continue
 		}
 		n.state.Packet(n.clock.Now(), address, packet)
@@ -248,13 +252,11 @@
 }
 
 // echoed returns the last of this entry's times that the sender had, 0 if it had none of this incarnation.
-func (n *Node) echoed(news *wire.EntryNews) lovageshift.Millis {
-	for _, echo := range news.Echoes {
-		if echo.Member == number(n.members.self) && echo.SentAt >= uint64(n.started) {
-			return lovageshift.Millis(echo.SentAt)
-		}
+func (n *Node) echoed(sentAt uint64) lovageshift.Millis {
+	if sentAt < uint64(n.started) {
+		return 0
 	}
-	return 0
+	return lovageshift.Millis(sentAt)
 }
 
 func senderOf(from net.Addr) (netip.Addr, error) {
@@ -265,7 +267,7 @@
 	return sender.Addr().Unmap(), nil
 }
 
-func (n *Node) take(from netip.Addr, news *wire.EntryNews) {
+func (n *Node) take(from netip.Addr, news *wire.EntryNews, echoed lovageshift.Millis) {
 	now := n.clock.Now()
 	n.mutex.Lock()
 	other := n.members.learn(now, from)
@@ -295,7 +297,7 @@
 	if news.Leaving {
 		n.log.Info("entryLeaving", "peer", from.String())
 	}
-	n.state.Heard(now, from, before, n.echoed(news), news)
+	n.state.Heard(now, from, before, echoed, news)
 }
 
 // remember keeps the news and returns what the same incarnation said before, or nil.
