Judge cold targets by what entries could read, and mend a race of the soak

Change: requests at a target that became cold again count unless the store was away since then; a target that is cold from its start counts always. Settings are changed in a copy.

--- a/soak/entry.go
+++ b/soak/entry.go
@@ -37,6 +37,7 @@
 	stopped bool // the process was told to stop and shall end well
 	ready   bool // the process has said that it is ready
 	ends    []string
+	changes int  // how often the settings changed
 	offered bool // the balancer sends it new connections
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
@@ -120,7 +119,7 @@
 		lovageshift.Pause(ctx, lapsedMillis.Duration())
 		p.setLapsed(false)
 	case TargetCold:
-		p.update(func(l *life) { l.cold = append(l.cold, Span{r.clock.Now(), r.clock.Now() + coldMillis}) })
+		p.update(func(l *life) { l.coldAgain(r.clock.Now()) })
 		r.site.write(p)
 	default:
 		panic("unknown kind of fault " + string(fault.Kind))
@@ -173,9 +172,7 @@
 
 // reload changes the settings file, with a signal or without.
 func (r *run) reload(e *entry, signal bool) {
-	e.machine.Seeds = slices.Clone(e.machine.Seeds)
-	slices.Reverse(e.machine.Seeds)
-	if err := e.writeSettings(); err != nil {
+	if err := e.changeSettings(); err != nil {
 		panic(err) // the folder is our own
 	}
 	if signal {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -227,7 +227,7 @@
 	most := int(coldPerSecond*coldOvershoot + coldSlack)
 	byTarget := map[string][]Arrival{}
 	for _, arrival := range j.Arrivals {
-		if arrival.Cold {
+		if arrival.Cold && j.couldKnow(arrival) {
 			byTarget[arrival.Target] = append(byTarget[arrival.Target], arrival)
 		}
 	}
@@ -248,6 +248,12 @@
 	}
 }
 
+// couldKnow tells whether entries could read that the target is cold: it is in the store only if it ran before.
+func (j *judge) couldKnow(arrival Arrival) bool {
+	ofStore := func(t Trouble) bool { return t.Entry == AllEntries }
+	return arrival.ColdAgain == 0 || j.calm(arrival.ColdAgain, arrival.At, ofStore)
+}
+
 func (j *judge) quota() {
 	type taken struct{ sent, at lovageshift.Millis }
 	var all []taken
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -113,6 +113,13 @@
 		So(judged(many("/read/", 40, 100, cold)), ShouldBeEmpty)
 		So(judged(many("/read/", 40, 20, cold)), ShouldContain, soak.ColdTargets)
 	})
+	Convey("What only the store tells is not asked for while the store is away", t, func() {
+		again := func(_ *soak.Attempt, a *soak.Arrival) { a.Cold, a.ColdAgain = true, 9000 }
+		h := many("/read/", 40, 20, again)
+		So(judged(h), ShouldContain, soak.ColdTargets)
+		h.Troubles = []soak.Trouble{{Kind: soak.StoreSilent, Entry: soak.AllEntries, From: 8000, To: 12_000}}
+		So(judged(h), ShouldBeEmpty)
+	})
 	Convey("An account's quota is counted over all entries", t, func() {
 		small := func(a *soak.Attempt, r *soak.Arrival) { a.Account, r.Tenant = "small", "small" }
 		h := many("/read/", 300, 20, small)
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -133,7 +134,7 @@
 		if made.callers, err = NewProxy(fmt.Sprintf("%s.6.%d:8221", network, number+1), made.machine.Callers()); err != nil {
 			return err
 		}
-		if err := made.writeSettings(); err != nil {
+		if err := writeSettings(made.machine, made.settings); err != nil {
 			return err
 		}
 		r.entries = append(r.entries, made)
@@ -141,12 +142,23 @@
 	return nil
 }
 
-func (e *entry) writeSettings() error {
-	content, err := e.machine.Settings()
+func writeSettings(machine standin.Machine, path string) error {
+	content, err := machine.Settings()
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(e.settings, content, settingsMode)
+	return os.WriteFile(path, content, settingsMode)
+}
+
+// changeSettings names the seeds in another order than before.
+func (e *entry) changeSettings() error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.changes++
+	changed := e.machine
+	first := e.changes % len(changed.Seeds)
+	changed.Seeds = slices.Concat(changed.Seeds[first:], changed.Seeds[:first])
+	return writeSettings(changed, e.settings)
 }
 
 func bounds() map[string]any {
--- a/soak/target.go
+++ b/soak/target.go
@@ -38,10 +38,33 @@
 	born    lovageshift.Millis
 	// leaving is when the store took its word that it leaves, 0 if it did not.
 	leaving lovageshift.Millis
-	cold    []Span
+	cold    []coldSpan
 	records int64
 }
 
+// coldAt tells whether the target was cold at a moment, and since when if that began after its start.
+func (l *life) coldAt(at lovageshift.Millis) (bool, lovageshift.Millis) {
+	for _, cold := range l.cold {
+		if cold.Holds(at) && cold.Again {
+			return true, cold.From
+		}
+		if cold.Holds(at) {
+			return true, 0
+		}
+	}
+	return false, 0
+}
+
+func (l *life) coldAgain(now lovageshift.Millis) {
+	l.cold = append(l.cold, coldSpan{Span: Span{now, now + coldMillis}, Again: true})
+}
+
+// coldSpan is a time in which a target is cold; Again tells that it was warm before.
+type coldSpan struct {
+	Span
+	Again bool
+}
+
 // place is an address at which targets of one service live one after another.
 type place struct {
 	number  int
@@ -82,7 +105,7 @@
 	}
 	p.now = &life{replica: replica, zone: p.zone, service: p.service, born: p.clock.Wall()}
 	if cold {
-		p.now.cold = append(p.now.cold, Span{now, now + coldMillis})
+		p.now.cold = append(p.now.cold, coldSpan{Span: Span{now, now + coldMillis}})
 	}
 	p.lives = append(p.lives, p.now)
 	server := &http.Server{Handler: replica, ReadHeaderTimeout: targetHeader}
