Keep broken-off requests findable, and heed no echo from another clock

A request that was broken off has the status with which it began, 200, and was left out of the recent ones. An echo of a time that this entry cannot have sent, as after a machine with another clock had its address, would have confirmed a view for longer than it holds; the test shows one of ten minutes ahead, accepted before.

--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -37,16 +37,18 @@
 		log := eventlog.New(io.Discard, "entry-1")
 		log.Info("answered", "request", "good", "status", 200, "detail", "")
 		log.Info("refused", "request", "old", "status", 503)
-		for i := range 2047 {
+		for i := range 2046 {
 			log.Info("refused", "request", fmt.Sprintf("r-%d", i), "status", 503, "detail", "shed")
 		}
-		log.Info("retry", "request", "r-2046", "reason", "targetFailing")
+		log.Info("brokenOff", "request", "cut", "status", 200)
+		log.Info("retry", "request", "r-2045", "reason", "targetFailing")
 		var out bytes.Buffer
-		So(log.Recent("r-2046", &out), ShouldBeNil)
+		So(log.Recent("r-2045", &out), ShouldBeNil)
 		So(strings.Count(out.String(), "\n"), ShouldEqual, 2)
-		So(out.String(), ShouldContainSubstring, `"msg":"refused","request":"r-2046","status":503,"detail":"shed"`)
+		So(out.String(), ShouldContainSubstring, `"msg":"refused","request":"r-2045","status":503,"detail":"shed"`)
 		So(strings.Index(out.String(), "refused"), ShouldBeLessThan, strings.Index(out.String(), "retry"))
 		So(log.Recent("r-0", &out), ShouldBeNil)
+		So(log.Recent("cut", &out), ShouldBeNil)
 		So(trace.IsNotFound(log.Recent("old", &out)), ShouldBeTrue)
 		So(errors.Is(log.Recent("good", &out), eventlog.ErrNotKept), ShouldBeTrue)
 		var none *eventlog.Log
--- a/eventlog/recent.go
+++ b/eventlog/recent.go
@@ -13,7 +13,8 @@
 const (
 	// Lines about requests that are kept, also where their kind's rate leaves them out.
 	keptLines = 2048
-	// Lines that begin with the request and this status, which says that it was served, are not kept.
+	// Lines of this kind that begin with the request and this status are not kept, as it was served.
+	servedKind   = "answered"
 	statusKey    = "status"
 	servedStatus = 200
 )
@@ -37,7 +38,7 @@
 
 // keep takes in a line if its first key names a request.
 func (r *recent) keep(at time.Time, kind string, values []any) {
-	if len(values) < 2 || values[0] != requestKey || served(values[2:]) {
+	if len(values) < 2 || values[0] != requestKey || served(kind, values[2:]) {
 		return
 	}
 	request, isText := values[1].(string)
@@ -50,8 +51,8 @@
 	r.next = (r.next + 1) % keptLines
 }
 
-func served(values []any) bool {
-	return len(values) >= 2 && values[0] == statusKey && values[1] == servedStatus
+func served(kind string, values []any) bool {
+	return kind == servedKind && len(values) >= 2 && values[0] == statusKey && values[1] == servedStatus
 }
 
 // about returns the lines kept about a request, oldest first.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -86,6 +86,28 @@
 	return e
 }
 
+func TestEchoesOfAnotherClock(t *testing.T) {
+	Convey("A time that this entry cannot have sent confirms nothing", t, func() {
+		port := freePort()
+		e := newEntry(port, "127.0.0.1")
+		defer e.stop()
+		socket, err := net.ListenPacket("udp4", netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), port).String())
+		So(err, ShouldBeNil)
+		defer func() { _ = socket.Close() }()
+		now := uint64(lovageshift.NewClock().Suspended())
+		for number, echoed := range []uint64{1, now + 600_000} {
+			news := &wire.EntryNews{Incarnation: 1, Sequence: uint64(number + 1)}
+			content, err := proto.Marshal(&wire.EntryPacket{Body: &wire.EntryPacket_News{News: news}, EchoedAt: echoed})
+			So(err, ShouldBeNil)
+			_, err = socket.WriteTo(content, net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)))
+			So(err, ShouldBeNil)
+			address := netip.MustParseAddr("127.0.0.2")
+			So(e.knows(func(s *state) bool { return s.heard[address].GetSequence() == uint64(number+1) }), ShouldBeTrue)
+		}
+		So(e.echoed, ShouldEqual, lovageshift.Millis(0))
+	})
+}
+
 func TestMessagesStaySmall(t *testing.T) {
 	Convey("Among 200 entries a message names some of them, and returns to each its own time", t, func() {
 		port := freePort()
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -251,9 +251,10 @@
 	return binary.BigEndian.Uint32(four[:])
 }
 
-// echoed returns the last of this entry's times that the sender had, 0 if it had none of this incarnation.
+// echoed returns the last of this entry's times that the sender had, 0 if it had none of this incarnation. An earlier
+// machine at this address may have had another clock.
 func (n *Node) echoed(sentAt uint64) lovageshift.Millis {
-	if sentAt < uint64(n.started) {
+	if sentAt < uint64(n.started) || sentAt > uint64(n.clock.Suspended()) {
 		return 0
 	}
 	return lovageshift.Millis(sentAt)
