--- a/standin/operator.go
+++ b/standin/operator.go
@@ -36,7 +36,7 @@
 	ColdPerSecond float64 `json:"cold_per_s,omitempty"`
 }
 
-// CatalogAccount is a client account with its keys and its allowance in tokens.
+// CatalogAccount is a client account with its keys and its quota in tokens.
 type CatalogAccount struct {
 	Name        string   `json:"name"`
 	Keys        []string `json:"api_keys"`
