--- a/soak/caller.go
+++ b/soak/caller.go
@@ -130,9 +130,14 @@
 	}
 }
 
-func (c *caller) attempt(ctx context.Context, path string) *Attempt {
+// nextID returns the id of the caller's next request.
+func (c *caller) nextID() string {
 	c.sent++
-	id := fmt.Sprintf("%d-%d", c.number, c.sent)
+	return fmt.Sprintf("%d-%d", c.number, c.sent)
+}
+
+func (c *caller) attempt(ctx context.Context, path string) *Attempt {
+	id := c.nextID()
 	ask := standin.Ask{
 		ID: id, Host: host, Method: http.MethodPost, Path: path + id + "?q=" + id, Body: "body of " + id,
 		WaitMillis: routeMillis, Prompt: askTokens, Output: answerTokens,
@@ -141,6 +146,11 @@
 		ask.Method, ask.Body = http.MethodGet, ""
 	}
 	account := c.choose(&ask)
+	return c.send(ctx, ask, account)
+}
+
+// send sends the request of an account to the entry that the caller is at.
+func (c *caller) send(ctx context.Context, ask standin.Ask, account string) *Attempt {
 	attempt := &Attempt{Ask: ask, Account: account, Entry: c.current, Sent: c.clock.Now(), Left: c.random.IntN(leavesOneIn) == 0}
 	wait := (routeMillis * time.Millisecond) + patience
 	if attempt.Left {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -194,10 +194,15 @@
 // sendFatal sends the same request, which no target survives, again and again to changing entries.
 func (r *run) sendFatal(ctx context.Context, fault Fault) {
 	c := newCaller(len(r.entries)+r.options.Callers+fault.Variant, r.options.Seed, r.site, r.entries, &r.book)
-	path := fmt.Sprintf("%s%d", fatalPrefix, fault.Variant)
+	// Only the id differs from one time to the next: what comes again is known by its path, key and body.
+	ask := standin.Ask{
+		Host: host, Method: http.MethodPost, Path: fmt.Sprintf("%s%d", fatalPrefix, fault.Variant), Body: "fatal",
+		Key: "stable-key", WaitMillis: routeMillis, Prompt: askTokens, Output: answerTokens,
+	}
 	end := r.clock.Now() + fault.For + contactMillis
 	for ctx.Err() == nil && r.clock.Now() < end {
-		c.attempt(ctx, path)
+		ask.ID = c.nextID()
+		c.send(ctx, ask, stableAccount)
 		c.move()
 		lovageshift.Pause(ctx, fatalPause)
 	}
