Write a machine's settings in one place, and drop what nothing used

Machine.Write replaces three copies; a soak's own list of faults was never given by anyone. News without cold targets no longer take the desk's lock a second time. Behaviour is the same.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -227,7 +227,9 @@
 	if news.Leaving {
 		running = nil
 	}
-	g.desk.HeardCold(now, coldOf(news))
+	if len(news.Cold) > 0 {
+		g.desk.HeardCold(now, coldOf(news))
+	}
 	g.desk.Heard(now, from, running)
 }
 
--- a/process/gateway_test.go
+++ b/process/gateway_test.go
@@ -43,11 +43,7 @@
 }
 
 func write(t *testing.T, m standin.Machine, path string) {
-	content, err := m.Settings()
-	if err == nil {
-		err = os.WriteFile(path, content, 0o600)
-	}
-	if err != nil {
+	if err := m.Write(path); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,8 +30,6 @@
 	// Trouble is for how long faults begin, and Calm how long requests go on once recovery is due.
 	Trouble lovageshift.Millis
 	Calm    lovageshift.Millis
-	// Faults are played in place of the seed's own plan, if there are any.
-	Faults []Fault
 }
 
 // DefaultOptions returns the usual size of a run.
@@ -49,7 +47,6 @@
 	// Loopback networks from 127.firstNetwork on are used, one a run.
 	firstNetwork = 32
 	lastNetwork  = 250
-	settingsMode = 0o600
 	// Two connections through a proxy have four ends here, or three with the other end in an entry; some are closing.
 	descriptorsPerLink = 6
 )
@@ -134,7 +131,7 @@
 		if made.callers, err = NewProxy(fmt.Sprintf("%s.6.%d:8221", network, number+1), made.machine.Callers()); err != nil {
 			return err
 		}
-		if err := writeSettings(made.machine, made.settings); err != nil {
+		if err := made.machine.Write(made.settings); err != nil {
 			return err
 		}
 		r.entries = append(r.entries, made)
@@ -142,14 +139,6 @@
 	return nil
 }
 
-func writeSettings(machine standin.Machine, path string) error {
-	content, err := machine.Settings()
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, content, settingsMode)
-}
-
 // changeSettings names the seeds in another order than before.
 func (e *entry) changeSettings() error {
 	e.mutex.Lock()
@@ -158,7 +147,7 @@
 	changed := e.machine
 	first := e.changes % len(changed.Seeds)
 	changed.Seeds = slices.Concat(changed.Seeds[first:], changed.Seeds[:first])
-	return writeSettings(changed, e.settings)
+	return changed.Write(e.settings)
 }
 
 func bounds() map[string]any {
@@ -223,13 +212,9 @@
 
 // faults plays the plan; it returns when the last fault is over.
 func (r *run) faults(ctx context.Context) {
-	plan := r.options.Faults
-	if len(plan) == 0 {
-		plan = NewPlan(r.options.Seed, r.options.Trouble)
-	}
 	start := r.clock.Now()
 	var running errgroup.Group
-	for _, fault := range plan {
+	for _, fault := range NewPlan(r.options.Seed, r.options.Trouble) {
 		lovageshift.Pause(ctx, (start + fault.At - r.clock.Now()).Duration())
 		running.Go(func() error {
 			r.inflict(ctx, fault)
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"os"
 	"strconv"
 )
 
@@ -78,6 +79,18 @@
 	})
 }
 
+// Write writes the machine's settings file.
+func (m Machine) Write(path string) error {
+	content, err := m.Settings()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, content, settingsMode)
+}
+
+// Only the process itself reads its settings file.
+const settingsMode = 0o600
+
 // Callers returns the IP:port for clients.
 func (m Machine) Callers() string { return hostPort(m.Host, m.FirstPort) }
 
--- a/try/platform.go
+++ b/try/platform.go
@@ -60,11 +60,7 @@
 			Seeds: []string{"127.0.10.2"}, Store: storeAddress, FirstPort: entryPort,
 		}
 		path := filepath.Join(folder, machine.Name+".json")
-		content, err := machine.Settings()
-		if err == nil {
-			err = os.WriteFile(path, content, 0o600)
-		}
-		if err != nil {
+		if err := machine.Write(path); err != nil {
 			return err
 		}
 		machines = append(machines, machine)
