Bound what is read of a target's response, and forward an unproven end as one

A success with neither length nor chunks that the target ended after half of its body was forwarded with a Content-Length or with chunks, so that the caller took it for complete.

A body that ends with the target's connection ends with the caller's too; if it breaks off then, the caller's connection is reset.

--- a/framing/listener.go
+++ b/framing/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 )
 
@@ -68,6 +69,16 @@
 	return count, nil
 }
 
+// SetLinger sets what happens when the connection is closed, as net.TCPConn.SetLinger does. It returns an error if the
+// underlying connection is not a TCP connection.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // fill receives more bytes into pending.
 func (c *conn) fill() error {
 	var buffer [readBufferBytes]byte
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -25,11 +26,11 @@
 	return r.forwardBody(ctx, slot, response, success)
 }
 
-// forwardBody receives the complete body of a response that is not a successful stream, and forwards the response. If
-// the status is 5xx and a retry is allowed, it retries the request instead.
+// forwardBody receives the body of a response that is not a successful stream, and forwards the response. If the status
+// is 5xx and a retry is allowed, it retries the request instead, unless the body is too large to hold it until then.
 func (r *request) forwardBody(ctx context.Context, slot *placement.Slot, response *upstream.TargetResponse, success bool) attemptResult {
 	g := r.gateway
-	body, err := response.ReadBody()
+	body, complete, err := response.ReadBody()
 	if err != nil {
 		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: r.bodyErrorOutcome(ctx, err)})
 		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineAnswerMalformed, err.Error())}
@@ -38,6 +39,10 @@
 	if !success {
 		outcome = placement.Failed
 	}
+	if !complete {
+		r.forwardLargeBody(ctx, slot, response, body, outcome)
+		return attemptResult{done: true}
+	}
 	g.scheduler.Release(g.clock.Now(), slot, placement.Result{FirstEvent: r.summary.firstByte, Outcome: outcome})
 	if !success && response.Status >= http.StatusInternalServerError {
 		failed := attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineFailed, "status "+strconv.Itoa(response.Status))}
@@ -49,6 +54,29 @@
 	return attemptResult{done: true}
 }
 
+// forwardLargeBody forwards a response of which only the beginning of the body has been received, and the rest of the
+// body as it arrives. It releases the slot. If the rest does not arrive completely or cannot be written to the caller, it
+// aborts.
+func (r *request) forwardLargeBody(ctx context.Context, slot *placement.Slot, response *upstream.TargetResponse, beginning []byte, outcome placement.Outcome) {
+	g := r.gateway
+	r.writeHeader(response, response.Length())
+	_, err := r.w.Write(beginning)
+	if err == nil {
+		err = response.CopyRest(r.w)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, upstream.ErrConnectionLost), errors.Is(err, upstream.ErrInvalidResponse):
+		outcome = r.bodyErrorOutcome(ctx, err)
+	default: // the caller does not read the response
+		outcome = placement.Abandoned
+	}
+	g.scheduler.Release(g.clock.Now(), slot, placement.Result{FirstEvent: r.summary.firstByte, Outcome: outcome})
+	if err != nil {
+		r.abort(err.Error())
+	}
+}
+
 // bodyErrorOutcome returns the outcome, for the scheduler, of a request whose response body could not be read to its
 // end: that of the context if it has ended, otherwise that of the error.
 func (r *request) bodyErrorOutcome(ctx context.Context, err error) placement.Outcome {
@@ -73,7 +101,7 @@
 // stream from an earlier target, the status can no longer change, and writeResponse aborts.
 func (r *request) writeResponse(response *upstream.TargetResponse, body []byte) {
 	if r.headerSent {
-		r.abort("error status from the target that resumed the stream")
+		r.abort("error status from the target that was asked to resume the stream")
 	}
 	r.writeHeader(response, len(body))
 	if _, err := r.w.Write(body); err != nil {
@@ -82,7 +110,9 @@
 }
 
 // writeHeader writes the status and headers of a target's response to the caller. Length is the body's size in bytes,
-// -1 for a stream. Content-Length is set if the size is given, except for HEAD, whose response has no body.
+// -1 if it is not known. Content-Length is set if the size is given, except for HEAD, whose response has no body. A body
+// that ends with the target's connection is forwarded in the same way, since a length or chunks would assure the caller
+// that it is complete, which nothing shows.
 func (r *request) writeHeader(response *upstream.TargetResponse, length int) {
 	header := r.w.Header()
 	for name, values := range platform.ForwardResponseHeader(response.Header) {
@@ -91,7 +121,11 @@
 	if response.Header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil // keeps net/http from adding one
 	}
-	if length >= 0 && r.req.Method != http.MethodHead {
+	switch {
+	case response.EndsWithConnection():
+		header["Transfer-Encoding"] = []string{"identity"} // net/http then closes the connection after the body
+		r.endsWithConnection = true
+	case length >= 0 && r.req.Method != http.MethodHead:
 		header["Content-Length"] = []string{strconv.Itoa(length)}
 	}
 	r.w.WriteHeader(response.Status)
@@ -170,13 +204,37 @@
 	r.refuse(refusal)
 }
 
-// abort closes the caller's connection, so that a truncated response never looks complete. It does not return: it
-// panics with http.ErrAbortHandler.
+// abort closes the caller's connection, so that a truncated response never looks complete. A body that ends with the
+// connection would look so, and therefore the connection is reset in this case. It does not return: it panics with
+// http.ErrAbortHandler.
 func (r *request) abort(detail string) {
 	r.logEnd("brokenOff", detail)
+	if r.endsWithConnection {
+		r.resetOnClose()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// connectionKey is the key of the caller's connection in the context of its requests.
+type connectionKey struct{}
+
+// ConnContext adds the caller's connection to the context of its requests. It is meant for http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// resetOnClose makes the close of the caller's connection a reset.
+func (r *request) resetOnClose() {
+	connection, ok := r.req.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
+	if !ok {
+		r.gateway.log.Info("connectionNotReset", "request", r.headers.ID, "error", "the connection is not known")
+		return
+	}
+	if err := connection.SetLinger(0); err != nil {
+		r.gateway.log.Info("connectionNotReset", "request", r.headers.ID, "error", err.Error())
+	}
+}
+
 // refuse writes the refusal to the caller as the response, and logs and counts it.
 func (r *request) refuse(refusal *lovageshift.Refusal) {
 	r.prepareRepeat(refusal)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -81,7 +81,9 @@
 	var tasks errgroup.Group
 	tasks.Go(func() error { return tracker.Run(ctx) })
 	tasks.Go(func() error { return s.gateway.Run(ctx) })
-	gatewayServer := httptest.NewServer(s.gateway)
+	gatewayServer := httptest.NewUnstartedServer(s.gateway)
+	gatewayServer.Config.ConnContext = gateway.ConnContext
+	gatewayServer.Start()
 	s.url = gatewayServer.URL
 	s.stop = func() {
 		cancel()
@@ -131,12 +133,14 @@
 }
 
 // result is the response that a caller got, with status 0 if there was none. complete is set if the whole body was
-// received.
+// received, chunked if it came in chunks, and closes if the connection ends after it.
 type result struct {
 	status   int
 	body     string
 	header   http.Header
 	complete bool
+	chunked  bool
+	closes   bool
 }
 
 // send sends a request with the account's key. The request also carries headers that callers must not set, which the
@@ -158,7 +162,10 @@
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return result{response.StatusCode, string(content), response.Header, err == nil}
+	return result{
+		response.StatusCode, string(content), response.Header, err == nil,
+		len(response.TransferEncoding) > 0, response.Close,
+	}
 }
 
 // executed returns the requests that the replicas have run, by replica.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -78,6 +78,8 @@
 	runs int
 	// headerSent is set once the header of a target's response has been written to the caller.
 	headerSent bool
+	// endsWithConnection is set if the body of the response ends with the caller's connection.
+	endsWithConnection bool
 	// lastEventID is the ID of the last event received that has one, "" before that. Another target resumes the stream
 	// after this event.
 	lastEventID string
--- /dev/null
+++ b/gateway/truncated_test.go
@@ -0,0 +1,131 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"lovageshift/standin"
+)
+
+// rawTarget is a target that answers each request with the bytes of a script and then ends the connection.
+type rawTarget struct {
+	response string // sent after the status line and the headers that name the request
+	reset    bool   // ends the connection with a reset
+}
+
+func (t *rawTarget) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nRaw: 1\r\n%s",
+		standin.HeaderRequestID, request.Header.Get(standin.HeaderRequestID), standin.HeaderSignature, t.response)
+	if !t.reset {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// newRawSetup returns an entry whose only target answers with the bytes of the script.
+func newRawSetup(target *rawTarget) (*setup, func()) {
+	replica := plainReplica("i-1")
+	s := newSetup(replica)
+	server := httptest.NewServer(target)
+	s.store.Put(replica.Key(), replica.Record(standin.Registration{Address: server.Listener.Addr().String(), Zone: "zone-a", Born: 2, Sequence: 1}))
+	s.waitFor(func() bool { return s.send("r0", "GET", "/read/x", "").body != "done by i-1" })
+	return s, func() {
+		s.stop()
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
+
+// A body with neither a length nor chunks ends with its connection, and nothing shows whether the target has sent all of
+// it. The caller must not get it with a length or with chunks, as these would assure it that the body is complete.
+func TestBodiesThatEndWithTheConnection(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	withoutEnd := func(got result) {
+		So(got.status, ShouldEqual, 200)
+		So(got.complete, ShouldBeTrue)
+		So(got.header.Get("Content-Length"), ShouldBeEmpty)
+		So(got.chunked, ShouldBeFalse)
+		So(got.closes, ShouldBeTrue)
+	}
+	Convey("A plain body that ends with the target's connection ends with the caller's", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: "Connection: close\r\n\r\nhalf or whole"})
+		defer stop()
+		got := s.send("r1", "POST", "/book/x", "")
+		withoutEnd(got)
+		So(got.body, ShouldEqual, "half or whole")
+	})
+	Convey("A stream that ends with the target's connection ends with the caller's", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: "Content-Type: text/event-stream\r\n\r\n" + events})
+		defer stop()
+		got := s.send("r1", "POST", "/chat/x", "")
+		withoutEnd(got)
+		So(got.body, ShouldEqual, events)
+	})
+	Convey("A stream whose target resets its connection does not look complete to the caller", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: "Content-Type: text/event-stream\r\n\r\n" + events, reset: true})
+		defer stop()
+		got := s.send("r1", "POST", "/chat/x", "")
+		So(got.complete, ShouldBeFalse)
+	})
+	Convey("A plain body whose target resets its connection is not forwarded", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: "\r\nhalf", reset: true})
+		defer stop()
+		So(s.send("r1", "POST", "/book/x", "").status, ShouldEqual, 502)
+	})
+	Convey("A stream whose target ends its connection within an event does not look complete to the caller", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: "Content-Type: text/event-stream\r\n\r\n" + events + "id: 3\nda"})
+		defer stop()
+		So(s.send("r1", "POST", "/chat/x", "").complete, ShouldBeFalse)
+	})
+}
+
+// A large body is forwarded as it arrives, so that it need not be held in memory.
+func TestLargeBodies(t *testing.T) {
+	content := strings.Repeat("0123456789abcdef", 64<<10) // 1 MiB
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(content))
+	Convey("A large body arrives complete, with its length", t, func() {
+		s, stop := newRawSetup(&rawTarget{response: length + content})
+		defer stop()
+		got := s.send("r1", "POST", "/book/x", "")
+		So(got.complete, ShouldBeTrue)
+		So(got.body == content, ShouldBeTrue)
+		So(got.header.Get("Content-Length"), ShouldEqual, fmt.Sprint(len(content)))
+	})
+	Convey("A large body in chunks arrives complete", t, func() {
+		chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(content), content)
+		s, stop := newRawSetup(&rawTarget{response: "Transfer-Encoding: chunked\r\n\r\n" + chunk})
+		defer stop()
+		got := s.send("r1", "POST", "/book/x", "")
+		So(got.complete, ShouldBeTrue)
+		So(got.body == content, ShouldBeTrue)
+	})
+	truncated := map[string]rawTarget{
+		"with a length":         {response: length + content[1:]},
+		"in chunks":             {response: "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(content), content)},
+		"with the connection":   {response: "\r\n" + content, reset: true},
+		"above the largest one": {response: "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", len(content), content), 17)},
+	}
+	for name, target := range truncated {
+		Convey("A large body that breaks off does not look complete: "+name, t, func() {
+			s, stop := newRawSetup(&target)
+			defer stop()
+			got := s.send("r1", "POST", "/book/x", "")
+			So(got.status == http.StatusOK && got.complete, ShouldBeFalse)
+		})
+	}
+}
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -159,7 +159,7 @@
 	tasks.Go(func() error { return serve(operatorServer, operatorListener) })
 	callerServer := &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes,
+		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: gateway.ConnContext,
 	}
 	framedListener := &framing.Listener{Listener: callerListener, HeaderLimit: p.gateway.HeaderLimit}
 	tasks.Go(func() error { return serve(callerServer, framedListener) })
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -42,6 +42,8 @@
 // conn is one connection to a target; it carries one request at a time.
 type conn struct {
 	net.Conn
+	// head limits the bytes of a response header. The reader reads from the connection through it.
+	head   *headLimiter
 	reader *bufio.Reader
 	key    connKey
 	// idleSince is when the connection last became idle. maxIdle is how long after that it may stay idle before Expire
@@ -64,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: key}, nil
+	head := &headLimiter{reader: raw}
+	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), key: key}, nil
 }
 
 // reusable reports whether an idle connection is still open and no bytes have been received on it. Bytes that arrive
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,145 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift"
+	"lovageshift/catalog"
+	"lovageshift/metrics"
+	"lovageshift/upstream"
+)
+
+const (
+	// How many bytes an endless target sends at most, so that the test ends even if nothing limits what is read.
+	endlessBytes = 64 << 20
+	// How much may be allocated to read one endless response. The smallest entries have 184 MB in all, and several
+	// targets may fail in this way at once.
+	endlessAllocation = 8 << 20
+	// Within this time the caller of Send must have its error. Its context ends much later.
+	endlessPatience = 2 * time.Second
+)
+
+// endlessTarget sends a beginning, and then a block again and again until its caller closes the connection.
+type endlessTarget struct {
+	listener net.Listener
+	tasks    errgroup.Group
+}
+
+func newEndlessTarget(beginning, repeated string) *endlessTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	e := &endlessTarget{listener: listener}
+	block := []byte(strings.Repeat(repeated, 1+(64<<10)/len(repeated)))
+	e.tasks.Go(func() error {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			e.tasks.Go(func() error {
+				answerEndlessly(c, beginning, block)
+				return nil
+			})
+		}
+	})
+	return e
+}
+
+func answerEndlessly(c net.Conn, beginning string, block []byte) {
+	defer func() { _ = c.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	if _, err := io.WriteString(c, beginning); err != nil {
+		return
+	}
+	for sent := 0; sent < endlessBytes; sent += len(block) {
+		if _, err := c.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+func (e *endlessTarget) close() {
+	_ = e.listener.Close()
+	_ = e.tasks.Wait()
+}
+
+// readAll sends a request and reads the body or the events of the response.
+func (e *endlessTarget) readAll(asEvents bool) error {
+	m, err := metrics.New()
+	So(err, ShouldBeNil)
+	pool := upstream.NewPool(lovageshift.NewClock(), m)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	target := &catalog.Target{ID: "i-1", Address: e.listener.Addr().String()}
+	response, err := pool.Send(ctx, target, 10, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	if !asEvents {
+		if _, complete, err := response.ReadBody(); err != nil || complete {
+			return err
+		}
+		return response.CopyRest(io.Discard)
+	}
+	events := response.Events()
+	for {
+		if _, err := events.Next(); err != nil {
+			return err
+		}
+	}
+}
+
+// A faulty target may send bytes without end in place of a response. Without a limit on each part of a response, one
+// such target takes all the memory of every entry that sends it a request.
+func TestEndlessResponses(t *testing.T) {
+	chunked := header + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct {
+		beginning, repeated string
+		asEvents            bool
+	}{
+		"status line":         {"HTTP/1.1 200 ", "a", false},
+		"no line end":         {"", "a", false},
+		"header line":         {signed + "X-Long: ", "a", false},
+		"header lines":        {signed, "X-Many: 1\r\n", false},
+		"interim responses":   {"", "HTTP/1.1 102 Processing\r\n\r\n", false},
+		"interim header":      {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n", false},
+		"chunk extension":     {chunked + "2;", "a", false},
+		"trailer":             {chunked + "2\r\nok\r\n0\r\n", "X-Trailer: 1\r\n", false},
+		"body without length": {header + "Connection: close\r\n\r\n", "a", false},
+		"chunks":              {chunked, "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", false},
+		"event line":          {chunked + "10000000\r\ndata: ", "a", true},
+		"event lines":         {chunked + "10000000\r\n", "data: a\n", true},
+		"late response":       {"HTTP/1.1 200 OK\r\nLovageshift-Request-Id: r0\r\nConnection: close\r\n\r\n", "a", false},
+	}
+	for name, c := range cases {
+		Convey("A response without end is given up with little memory: "+name, t, func() {
+			target := newEndlessTarget(c.beginning, c.repeated)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			started := time.Now()
+			err := target.readAll(c.asEvents)
+			took := time.Since(started)
+			runtime.ReadMemStats(&after)
+			target.close()
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, upstream.ErrNotSent), ShouldBeFalse)
+			So(took, ShouldBeLessThan, endlessPatience)
+			So(after.TotalAlloc-before.TotalAlloc, ShouldBeLessThan, endlessAllocation)
+		})
+	}
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -10,7 +10,7 @@
 )
 
 // Largest size of an event, in bytes, with the blank line that ends it.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // Event is one complete event of a stream.
 type Event struct {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -24,7 +25,9 @@
 	maxResponses = 3
 	// A late response is skipped only if its body has fewer bytes than this; otherwise the connection is closed.
 	maxLateBytes = 1 << 20
-	// Largest body, in bytes, of a response that is not read as events. The whole body is held in memory.
+	// Most bytes of a body that ReadBody holds in memory.
+	maxBufferedBytes = 256 << 10
+	// Largest body, in bytes, of a response that is not read as events.
 	maxBodyBytes = 16 << 20
 )
 
@@ -107,7 +110,9 @@
 // readHeader reads one response header. The second result is true if the response was skipped, because it is an interim
 // one or belongs to another request.
 func (p *Pool) readHeader(c *conn, request *Request) (*TargetResponse, bool, error) {
+	c.head.start()
 	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+	c.head.stop()
 	if err != nil {
 		return nil, false, headerError(err)
 	}
@@ -131,11 +136,12 @@
 	}, false, nil
 }
 
-// headerError returns ErrInvalidResponse if net/http reports the response header as malformed, and ErrConnectionLost
-// for any other error of reading it. It searches the error's text, as most of these errors have no type of their own.
+// headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, and
+// ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
+// no type of their own.
 func headerError(err error) error {
 	text := err.Error()
-	if strings.Contains(text, "malformed") {
+	if errors.Is(err, errHeaderTooLarge) || strings.Contains(text, "malformed") {
 		return trace.Wrap(ErrInvalidResponse, "%s", text)
 	}
 	return trace.Wrap(ErrConnectionLost, "read: %s", text)
@@ -181,17 +187,56 @@
 	return out.Bytes()
 }
 
-// ReadBody returns the complete body, at most 16 MiB; for a larger one it returns ErrInvalidResponse.
-func (r *TargetResponse) ReadBody() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.httpResponse.Body, maxBodyBytes+1))
+// ReadBody reads the body into memory, up to 256 KiB. The second result reports whether that is the complete body; if it
+// is not, CopyRest forwards the rest.
+func (r *TargetResponse) ReadBody() ([]byte, bool, error) {
+	body, err := io.ReadAll(io.LimitReader(r.httpResponse.Body, maxBufferedBytes))
 	if err != nil {
-		return nil, trace.Wrap(ErrConnectionLost, "body: %v", err)
+		return nil, false, trace.Wrap(ErrConnectionLost, "body: %v", err)
 	}
-	if len(body) > maxBodyBytes {
-		return nil, trace.Wrap(ErrInvalidResponse, "the body is larger than %d bytes", maxBodyBytes)
+	// A limited reader does not tell whether the body ends at the limit.
+	r.complete = len(body) < maxBufferedBytes
+	return body, r.complete, nil
+}
+
+// CopyRest forwards to the writer what ReadBody has left of the body. It returns ErrInvalidResponse if the whole body is
+// larger than 16 MiB, ErrConnectionLost if it is not received to its end, and an error of the writer unchanged.
+func (r *TargetResponse) CopyRest(to io.Writer) error {
+	rest := &bodyReader{reader: io.LimitReader(r.httpResponse.Body, maxBodyBytes-maxBufferedBytes+1)}
+	count, err := io.Copy(to, rest)
+	switch {
+	case rest.err != nil:
+		return trace.Wrap(ErrConnectionLost, "body: %v", rest.err)
+	case err != nil:
+		return err
+	case count > maxBodyBytes-maxBufferedBytes:
+		return trace.Wrap(ErrInvalidResponse, "the body is larger than %d bytes", maxBodyBytes)
 	}
 	r.complete = true
-	return body, nil
+	return nil
+}
+
+// bodyReader keeps the error of reading a body, to tell it from one of writing.
+type bodyReader struct {
+	reader io.Reader
+	err    error
+}
+
+func (b *bodyReader) Read(into []byte) (int, error) {
+	count, err := b.reader.Read(into)
+	if err != nil && err != io.EOF {
+		b.err = err
+	}
+	return count, err
+}
+
+// Length returns the size of the body in bytes if the target announced it, or -1.
+func (r *TargetResponse) Length() int { return int(r.httpResponse.ContentLength) }
+
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that only the end of the connection
+// ends it. Nothing then shows whether the target sent all of it.
+func (r *TargetResponse) EndsWithConnection() bool {
+	return r.httpResponse.ContentLength < 0 && len(r.httpResponse.TransferEncoding) == 0 && r.httpResponse.Body != http.NoBody
 }
 
 // Events returns a reader of the server-sent events in the body. It must not be combined with ReadBody.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -96,7 +96,7 @@
 		return "", err
 	}
 	defer response.Close()
-	body, err := response.ReadBody()
+	body, _, err := response.ReadBody()
 	return string(body), err
 }
 
