Judge waiting requests when submitted and at each tick only

Cause: a coordinator estimated the wait of every waiting request again at each slot that came free, each state update and each new request, which in an overload took most of a small VM's processor. Change: a request is judged when it is submitted and at the tick every 10 ms; other events only hand out slots.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/placement"
 )
@@ -22,3 +23,28 @@
 		})
 	}
 }
+
+// BenchmarkOverload measures one release and one submission while 200 requests of 12 ranks wait, as on the coordinator of
+// a group whose targets are all busy.
+func BenchmarkOverload(b *testing.B) {
+	s := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(24, 8)...)
+	const patience = 1 << 40 // ms, so that nobody is refused
+	wait := func(i int) *submission {
+		job := &placement.Job{PromptTokens: 6000, OutputTokens: 400, Rank: lovageshift.Rank(i % 12), QueueDeadline: patience}
+		return submit(s, 1, job)
+	}
+	var submitted []*submission
+	for i := range 24*8 + 200 {
+		submitted = append(submitted, wait(i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		for j, sub := range submitted {
+			if sub.Slot != nil {
+				s.Release(2, sub.Slot, placement.Result{Outcome: placement.Served, FirstEvent: 60})
+				submitted[j] = wait(i)
+				break
+			}
+		}
+	}
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -120,7 +120,7 @@
 		}
 	}
 	s.regroup(view)
-	s.assignAll(now)
+	s.assignAll(now, noWaiter)
 }
 
 func (s *Scheduler) setTarget(view *catalog.View, id lovageshift.TargetID, registered *catalog.Target) {
@@ -226,7 +226,7 @@
 			s.dropReservations(now, t, from, load.reserved-reported)
 		}
 	}
-	s.assignAll(now)
+	s.assignAll(now, noWaiter)
 }
 
 // Tick does what depends on the time: it assigns free slots, refuses requests that are expected to get none by their
@@ -243,7 +243,7 @@
 		s.sweptAt = now
 		s.sweep(now)
 	}
-	s.assignAll(now)
+	s.assignAll(now, everyWaiter)
 }
 
 func (s *Scheduler) forgetPeer(now lovageshift.Millis, from netip.Addr) {
@@ -321,7 +321,7 @@
 		s.queues[group] = q
 	}
 	q.push(now, w)
-	s.assign(now, group, q)
+	s.assign(now, group, q, func(other *Waiter) bool { return other == w })
 	return w
 }
 
@@ -400,20 +400,29 @@
 func (s *Scheduler) assignService(now lovageshift.Millis, service catalog.ServiceID) {
 	for _, group := range s.groupsByService[service] {
 		if q := s.queues[group]; q != nil {
-			s.assign(now, group, q)
+			s.assign(now, group, q, noWaiter)
 		}
 	}
 }
 
-func (s *Scheduler) assignAll(now lovageshift.Millis) {
+func (s *Scheduler) assignAll(now lovageshift.Millis, judge func(*Waiter) bool) {
 	for group, q := range s.queues {
-		s.assign(now, group, q)
+		s.assign(now, group, q, judge)
 	}
 }
 
+// Values of the parameter judge of assign.
+func everyWaiter(*Waiter) bool { return true }
+func noWaiter(*Waiter) bool    { return false }
+
 // assign gives slots to a group's waiting requests in the order of the queue, after promote has moved forward those
-// that the credit of their rank covers. It refuses those that are expected to get no slot by their queue deadline.
-func (s *Scheduler) assign(now lovageshift.Millis, group GroupID, q *queue) {
+// that the credit of their rank covers. Of those for which judge returns true, it refuses the ones that are expected to
+// get no slot by their queue deadline. A request is judged when it is submitted and at each Tick. To judge all of them
+// whenever a slot comes free would take most of a small VM's processor in an overload.
+func (s *Scheduler) assign(now lovageshift.Millis, group GroupID, q *queue, judge func(*Waiter) bool) {
+	if len(q.waiters) == 0 {
+		return
+	}
 	q.promote()
 	ahead, noneEligible := 0, false
 	aheadByRank := map[lovageshift.Rank]int{}
@@ -430,15 +439,17 @@
 			s.grant(now, q, w, chosen)
 			return true
 		}
-		expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
-		if now+expected < w.job.QueueDeadline {
-			ahead++
-			aheadByRank[w.job.Rank]++
-			return false
+		if judge(w) {
+			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
+			if now+expected >= w.job.QueueDeadline {
+				w.done = true
+				w.onDecision(nil, s.newRefusal(now, group, w.job, expected, ahead))
+				return true
+			}
 		}
-		w.done = true
-		w.onDecision(nil, s.newRefusal(now, group, w.job, expected, ahead))
-		return true
+		ahead++
+		aheadByRank[w.job.Rank]++
+		return false
 	})
 }
 
