Let two entries read the store for all

Change: two entries, chosen as the confirming ones were, watch the store and send its changes to the others, which ask the store only if they find themselves behind or unconfirmed, or if changes are too large for a datagram. Long watches are gone. A reader does not apply the other's changes, as it would then not pass its own on.

--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -6,8 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-
-	"golang.org/x/sync/errgroup"
+	"time"
 
 	"lovageshift"
 	"lovageshift/catalog"
@@ -17,20 +16,21 @@
 )
 
 const (
-	// How long a watch waits for a change on a confirmer, which is an entry whose frequent watches confirm the store's
-	// revision for the other entries too (see SetConfirmer), or on any entry while the store is unreachable.
-	shortWatchMillis lovageshift.Millis = 1200
-	// How long a watch waits for a change on an entry that is not a confirmer.
-	longWatchMillis lovageshift.Millis = 25_000
-	// A long watch (one that waits longWatchMillis) is cancelled when the local copy's revision was last confirmed
-	// maxUnconfirmedMillis ago or earlier, or when another entry was first seen with a newer store revision more than
-	// maxBehindMillis ago. The next watch waits only probeWatchMillis, as its answer confirms the revision or brings the
-	// changes.
+	// How long a watch of the store waits for a change.
+	watchMillis lovageshift.Millis = 1200
+	// An entry that is not a reader (see SetReader) asks the store itself once its local copy's revision was last confirmed
+	// this long ago, or another entry was first seen with a newer store revision this long ago. It waits up to
+	// spreadMillis more, at random, as the answer of one entry confirms the revision for the others too. Such a watch waits
+	// only probeWatchMillis, as its answer confirms the revision or brings the changes.
 	maxUnconfirmedMillis lovageshift.Millis = 2500
 	maxBehindMillis      lovageshift.Millis = 800
+	spreadMillis         lovageshift.Millis = 400
 	probeWatchMillis     lovageshift.Millis = 200
-	// How often a long watch is checked for these two conditions.
-	watchCheckMillis lovageshift.Millis = 200
+	// How often an entry that is not a reader checks for these two conditions.
+	followCheckMillis lovageshift.Millis = 100
+	// How many changes received from readers may wait to be applied. Further ones are dropped; the entry then finds itself
+	// behind and asks the store.
+	maxPendingChanges = 256
 	// The pause after a watch that returned changes, so that the next watch fetches all changes of that time in one call.
 	coalesceMillis lovageshift.Millis = 500
 	// A failed call to the store is retried after a random time between these two.
@@ -62,9 +62,12 @@
 	log     *eventlog.Log
 	metrics *metrics.Metrics
 
-	records     *Records
-	view        atomic.Pointer[catalog.View]
-	isConfirmer func() bool
+	records *Records
+	view    atomic.Pointer[catalog.View]
+	// isReader and publishChanges are as passed to SetReader. received holds the changes that readers sent.
+	isReader       func() bool
+	publishChanges func(Changes)
+	received       chan Changes
 	// failingSince is the time (Clock.Now) of the first of the failed calls since the last successful one, 0 if there are
 	// none.
 	failingSince lovageshift.Millis
@@ -81,13 +84,13 @@
 	// confirmedAt is the last time (Clock.SinceBoot) at which the store is known to have had no revision newer than
 	// storeRevision, 0 if there is none.
 	confirmedAt lovageshift.Millis
-	// cancelWatch cancels the watch in progress if it is a long one; it is nil otherwise.
-	cancelWatch context.CancelFunc
 	// behindSince is when (Clock.Now) another entry was first seen with a store revision newer than storeRevision, 0 if
 	// none was.
 	behindSince lovageshift.Millis
-	// probeNext makes the next watch wait only probeWatchMillis.
-	probeNext bool
+	// spread is the part of spreadMillis that applies to the next call to the store.
+	spread lovageshift.Millis
+	// fetch is set if a reader sent that there are changes too large to send.
+	fetch bool
 	// onChange holds the functions that publish calls with each new view.
 	onChange []func(*catalog.View)
 }
@@ -106,20 +109,33 @@
 // NewTracker returns a tracker that has read no records yet; Run starts it.
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
-		store:       options.Store,
-		address:     options.Address,
-		clock:       options.Clock,
-		log:         options.Log,
-		metrics:     options.Metrics,
-		records:     NewRecords(),
-		isConfirmer: func() bool { return true },
+		store:    options.Store,
+		address:  options.Address,
+		clock:    options.Clock,
+		log:      options.Log,
+		metrics:  options.Metrics,
+		records:  NewRecords(),
+		isReader: func() bool { return true },
+		received: make(chan Changes, maxPendingChanges),
 	}
 }
 
-// SetConfirmer sets the function that reports whether this entry is now a confirmer. Confirmers keep their watches of
-// the store short and report the results to the other entries, which then need only long watches. Without SetConfirmer,
-// the entry counts as a confirmer. SetConfirmer must be called before Run.
-func (t *Tracker) SetConfirmer(isConfirmer func() bool) { t.isConfirmer = isConfirmer }
+// SetReader sets the function that reports whether this entry is now a reader, and the function to which the tracker then
+// passes the changes of the records. Readers watch the store and send the changes to the other entries, which ask the
+// store only if readers do not keep them up to date. Without SetReader, the entry counts as a reader. SetReader must be
+// called before Run.
+func (t *Tracker) SetReader(isReader func() bool, publish func(Changes)) {
+	t.isReader, t.publishChanges = isReader, publish
+}
+
+// Receive takes over changes that a reader sent.
+func (t *Tracker) Receive(changes Changes) {
+	select {
+	case t.received <- changes:
+	default:
+		t.metrics.Add(metrics.StoreCalls, "changesDropped", 1)
+	}
+}
 
 // RevisionAge returns the store revision of the local copy, 0 before the first read, and its age: the milliseconds
 // since the last time at which the store is known to have had no newer revision. The age includes time for which the VM
@@ -165,47 +181,115 @@
 	t.onChange = append(t.onChange, callback)
 }
 
-// Run watches the store until the context ends.
+// Run follows the store until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
-	tasks, ctx := errgroup.WithContext(ctx)
-	tasks.Go(func() error {
-		lovageshift.Every(ctx, watchCheckMillis.Duration(), t.cancelStaleWatch)
-		return nil
-	})
-	tasks.Go(func() error {
-		t.followStore(ctx)
-		return nil
-	})
-	return tasks.Wait()
+	var revision int64
+	canWatch := false
+	for ctx.Err() == nil {
+		var err error
+		switch {
+		case !canWatch:
+			revision, err = t.readAll(ctx)
+		case t.isReader():
+			t.discardReceived()
+			revision, err = t.watchOnce(ctx, revision)
+		case t.mustAsk():
+			revision, err = t.watchOnce(ctx, revision)
+			if err != nil {
+				t.requestFetch() // the reason to ask remains
+			}
+		default:
+			revision = t.awaitChanges(ctx, revision)
+			continue
+		}
+		canWatch = t.finishCall(ctx, err, canWatch)
+	}
+	return nil
 }
 
-// cancelStaleWatch cancels the watch in progress if it is a long one and one of the conditions at maxUnconfirmedMillis
-// and maxBehindMillis holds.
-func (t *Tracker) cancelStaleWatch() {
+// mustAsk reports whether an entry that is not a reader has to ask the store itself: while the store is unreachable for
+// it, if a reader sent that there are large changes, or if one of the conditions at maxUnconfirmedMillis holds.
+func (t *Tracker) mustAsk() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	behind := t.behindSince > 0 && t.clock.Now()-t.behindSince > maxBehindMillis
 	age := t.clock.SinceBoot() - t.confirmedAt
-	if t.cancelWatch == nil || (!behind && age < maxUnconfirmedMillis) {
-		return
+	behind := t.behindSince > 0 && t.clock.Now()-t.behindSince > maxBehindMillis+t.spread
+	if !behind && !t.fetch && !t.storeUnreachable && age < maxUnconfirmedMillis+t.spread {
+		return false
 	}
-	t.cancelWatch()
-	t.cancelWatch, t.behindSince, t.probeNext = nil, 0, true
-	t.log.Info("watchGivenUp", "behind", behind, "viewAgeMillis", age)
+	t.log.Info("storeAsked", "behind", behind, "largeChanges", t.fetch, "viewAgeMillis", age)
+	t.behindSince, t.fetch = 0, false
+	t.spread = lovageshift.Millis(rand.Int64N(int64(spreadMillis)))
+	return true
 }
 
-// followStore reads all records and then watches for changes until the context ends.
-func (t *Tracker) followStore(ctx context.Context) {
-	var revision int64
-	canWatch := false
-	for ctx.Err() == nil {
-		var err error
-		if canWatch {
-			revision, err = t.watchOnce(ctx, revision)
-		} else {
-			revision, err = t.readAll(ctx)
+// awaitChanges waits for the next changes from a reader, or for followCheckMillis, and applies them. It returns the
+// revision of the local copy.
+func (t *Tracker) awaitChanges(ctx context.Context, revision int64) int64 {
+	timer := time.NewTimer(followCheckMillis.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case changes := <-t.received:
+		revision = t.applyChanges(revision, changes)
+	case <-timer.C:
+	}
+	if t.records.Expire(t.clock.Now()) {
+		t.publish()
+	}
+	return revision
+}
+
+// discardReceived discards the changes that have been received. A reader does not apply those of another reader, as it
+// would then not read and pass them on itself, and a follower that lost them from the other reader would lack them.
+func (t *Tracker) discardReceived() {
+	for {
+		select {
+		case <-t.received:
+		default:
+			return
 		}
-		canWatch = t.finishCall(ctx, err, canWatch)
+	}
+}
+
+// applyChanges applies changes from a reader if the local copy has the revision that they start from or a later one. It
+// returns the revision of the local copy. The time of the last confirmation stays: if the store had no newer revision than
+// the old one then, it had none newer than the new one.
+func (t *Tracker) applyChanges(revision int64, changes Changes) int64 {
+	switch {
+	case changes.To <= revision:
+		return revision
+	case changes.TooLarge:
+		t.requestFetch()
+		return revision
+	case changes.From > revision: // changes before these were lost
+		t.noteBehind()
+		return revision
+	}
+	now := t.clock.Now()
+	if changes.StoreBack > 0 {
+		t.storeBackAt = max(t.storeBackAt, now-changes.StoreBack)
+	}
+	for _, item := range changes.Items {
+		t.records.Apply(now, t.storeBackAt, item)
+	}
+	t.publish()
+	t.metrics.Add(metrics.StoreCalls, "savedByReader", 1)
+	t.setRevision(changes.To, 0)
+	return changes.To
+}
+
+func (t *Tracker) requestFetch() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.fetch = true
+}
+
+func (t *Tracker) noteBehind() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.behindSince == 0 {
+		t.behindSince = t.clock.Now()
 	}
 }
 
@@ -319,18 +403,11 @@
 	return revision, nil
 }
 
-// watchOnce waits for changes after the revision and publishes them. It returns the revision to watch from next, which
-// stays the same if the watch failed or cancelStaleWatch cancelled it.
+// watchOnce waits for changes after the revision, publishes them and, as a reader, passes them on. It returns the revision
+// to watch from next, which stays the same if the watch failed.
 func (t *Tracker) watchOnce(ctx context.Context, revision int64) (int64, error) {
 	sentAt := t.clock.SinceBoot()
-	wait := t.nextWatchWait()
-	watchCtx, endWatch := t.beginWatch(ctx, wait)
-	page, err := t.store.Watch(watchCtx, t.address(), revision, wait)
-	cancelled := watchCtx.Err() != nil && ctx.Err() == nil
-	endWatch()
-	if cancelled {
-		return revision, nil
-	}
+	page, err := t.store.Watch(ctx, t.address(), revision, t.nextWatchWait())
 	if err != nil {
 		return revision, err
 	}
@@ -346,43 +423,38 @@
 	}
 	t.publish()
 	t.setRevision(next, sentAt)
-	lovageshift.Pause(ctx, coalesceMillis.Duration())
+	if t.isReader() {
+		t.passOn(revision, next, page.Items)
+		lovageshift.Pause(ctx, coalesceMillis.Duration())
+	}
 	return next, nil
 }
 
-// beginWatch returns the context of a watch and the function to call at the end of the watch. If the wait is longer
-// than shortWatchMillis, cancelStaleWatch may cancel the context.
-func (t *Tracker) beginWatch(ctx context.Context, wait lovageshift.Millis) (context.Context, context.CancelFunc) {
-	watchCtx, cancel := context.WithCancel(ctx)
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if wait > shortWatchMillis {
-		t.cancelWatch = cancel
+// passOn passes the changes of a watch to the function set by SetReader, to be sent to the other entries.
+func (t *Tracker) passOn(from, to int64, items []platform.Item) {
+	if t.publishChanges == nil {
+		return
 	}
-	return watchCtx, func() {
-		t.mutex.Lock()
-		defer t.mutex.Unlock()
-		t.cancelWatch = nil
-		cancel()
+	var storeBack lovageshift.Millis
+	if t.storeBackAt > 0 {
+		storeBack = max(t.clock.Now()-t.storeBackAt, 1)
+	}
+	for _, part := range splitChanges(from, to, items) {
+		part.StoreBack = storeBack
+		t.publishChanges(part)
 	}
 }
 
 // nextWatchWait returns how long the next watch waits for a change. While there are lapsed targets it is a quarter of
-// shortWatchMillis, as Expire, which removes them, runs only after each watch.
+// watchMillis, as Expire, which removes them, runs only after each watch.
 func (t *Tracker) nextWatchWait() lovageshift.Millis {
-	t.mutex.Lock()
-	probe := t.probeNext
-	t.probeNext = false
-	t.mutex.Unlock()
 	switch {
-	case probe:
+	case !t.isReader() && !t.storeUnreachable:
 		return probeWatchMillis
 	case len(t.records.lapsed) > 0:
-		return shortWatchMillis / 4
-	case t.isConfirmer() || t.storeUnreachable:
-		return shortWatchMillis
+		return watchMillis / 4
 	default:
-		return longWatchMillis
+		return watchMillis
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"lovageshift/exchange"
 	"lovageshift/metrics"
 	"lovageshift/placement"
+	"lovageshift/platform"
 	"lovageshift/quota"
 	"lovageshift/reservation"
 	"lovageshift/retry"
@@ -39,10 +40,10 @@
 	tickInterval lovageshift.Millis = 10
 	// Upper bound of the view's age in the metrics, which also report it as long as no view has been confirmed.
 	maxReportedAge lovageshift.Millis = 3_600_000
-	// Number of entries that query the store often enough to confirm the view on behalf of all entries, which receive the
-	// confirmation in state updates. confirmTask is the task name by which rendezvous hashing chooses these entries.
-	confirmerCount = 2
-	confirmTask    = "confirm"
+	// Number of entries that watch the store for all entries, which receive its changes from them, and in state updates the
+	// confirmation that there are no others. readTask is the task name by which rendezvous hashing chooses these entries.
+	readerCount = 2
+	readTask    = "confirm"
 	// Interval between calls of Pool.Expire, which closes idle connections.
 	expireInterval lovageshift.Millis = 200
 )
@@ -284,16 +285,49 @@
 	g.meter.SetFraction(now, float64(counts.Reporting)/float64(counts.Known))
 }
 
-// HandlePacket handles another entry's reservation request, or its reply to one.
+// HandlePacket handles changes of the store's records that another entry read, another entry's reservation request, or its
+// reply to one.
 func (g *Gateway) HandlePacket(now lovageshift.Millis, from netip.Addr, packet *wire.EntryPacket) {
+	if changes := packet.GetChanges(); changes != nil {
+		g.tracker.Receive(storeChanges(changes))
+		return
+	}
 	g.reservations.HandlePacket(now, from, packet)
 }
 
+func storeChanges(message *wire.StoreChanges) discovery.Changes {
+	changes := discovery.Changes{
+		From: message.FromRevision, To: message.ToRevision, TooLarge: message.TooLarge,
+		StoreBack: lovageshift.Millis(message.StoreBackMillis),
+	}
+	for _, record := range message.Records {
+		changes.Items = append(changes.Items, platform.Item{Key: record.Key, Value: record.Value, Deleted: record.Deleted})
+	}
+	return changes
+}
+
+func storeChangesMessage(changes discovery.Changes) *wire.StoreChanges {
+	message := &wire.StoreChanges{
+		FromRevision: changes.From, ToRevision: changes.To, TooLarge: changes.TooLarge,
+		StoreBackMillis: int64(changes.StoreBack),
+	}
+	for _, item := range changes.Items {
+		message.Records = append(message.Records, &wire.StoreRecord{Key: item.Key, Value: item.Value, Deleted: item.Deleted})
+	}
+	return message
+}
+
 // SetPeers sets how the other entries are reached. It must be called before the first request is served and before the
 // tracker runs.
 func (g *Gateway) SetPeers(peers reservation.Peers) {
 	g.reservations.SetPeers(peers)
-	g.tracker.SetConfirmer(func() bool { return g.reservations.AmongFirst(confirmTask, confirmerCount) })
+	isReader := func() bool { return g.reservations.AmongFirst(readTask, readerCount) }
+	g.tracker.SetReader(isReader, func(changes discovery.Changes) {
+		packet := &wire.EntryPacket{Body: &wire.EntryPacket_Changes{Changes: storeChangesMessage(changes)}}
+		for _, address := range peers.Live() {
+			peers.Send(address, packet)
+		}
+	})
 }
 
 // routingPoint derives a number in [0, 1) from the first 16 bytes of the request ID. The number selects one of the
