Count each request at a target once, and let long answers wait for fast targets

Cause: a coordinator counted the larger of the slots that it had granted an entry at a target and of the requests that the entry had reported there. Besides, a third of the engines take four times as long for a token. Long answers there paused for too long or were cut at their deadline: 11% of all slot time from 16 to 22 s went to answers cut on slow engines, while 6,669 short requests were refused that are on time there.

Change: entries report which of their slots one other entry granted; a coordinator counts its own grants as it knows them, and as reported only the others. A request waits for a target that is expected to serve it on time, by the caller's estimate or its route's average of output tokens and by the target's time for a token; in place of a refusal it gets one that is expected to complete it by its deadline. A changed configuration is no longer sent from entry to entry, as it holds API keys.

--- a/catalog/route.go
+++ b/catalog/route.go
@@ -45,6 +45,8 @@
 	// Objective is the latency objective: the desired time to the answer, or to the first event of a stream, in
 	// milliseconds. With 0, a default objective applies, and requests do not wait for tokens of their account's quota.
 	Objective lovageshift.Millis
+	// MaxGap is the longest pause between two events with which a stream is still on time, in milliseconds, 0 for no limit.
+	MaxGap lovageshift.Millis
 	// Rank orders requests of accounts with equal Account.Rank. Those on the route with the lowest rank are served first.
 	Rank lovageshift.Rank
 	// Splits divide the route's requests among services, as ServiceFor describes.
--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -15,10 +15,11 @@
 // SetReader). They bring an entry whose local copy has at least the revision From to the revision To.
 type Changes struct {
 	From, To int64
-	// Items are the changed records in their last state, empty if TooLarge.
+	// Items are the changed records of targets and zones in their last state, empty if ReadStore.
 	Items []platform.Item
-	// TooLarge is set if a record is too large for a datagram, so that each entry has to read the changes itself.
-	TooLarge bool
+	// ReadStore is set if each entry has to read the changes from the store itself: a record is too large for a datagram,
+	// or the catalog has changed, whose API keys must not be sent from entry to entry.
+	ReadStore bool
 	// StoreBack is for how long the store has been reachable again for the reader, 0 if it had no outage.
 	StoreBack lovageshift.Millis
 }
@@ -31,8 +32,8 @@
 	part, size := Changes{From: from, To: from}, 0
 	for _, item := range items {
 		itemSize := len(item.Key) + len(item.Value)
-		if itemSize > maxChangesBytes {
-			return []Changes{{From: from, To: to, TooLarge: true}}
+		if itemSize > maxChangesBytes || !maySend(item) {
+			return []Changes{{From: from, To: to, ReadStore: true}}
 		}
 		if size+itemSize > maxChangesBytes {
 			parts = append(parts, part)
@@ -45,6 +46,12 @@
 	return append(parts, part)
 }
 
+// maySend reports whether a record may be sent from entry to entry, and be accepted from one.
+func maySend(item platform.Item) bool {
+	kind, _ := platform.Classify(item.Key)
+	return kind != platform.RecordCatalog
+}
+
 // lastStates returns the last state of each changed record, in the order of the revisions.
 func lastStates(items []platform.Item) []platform.Item {
 	last := map[string]platform.Item{}
--- a/discovery/changes_test.go
+++ b/discovery/changes_test.go
@@ -102,6 +102,7 @@
 	store    *memoryStore
 	trackers []*discovery.Tracker
 	loss     float64 // share of the messages between entries that are lost
+	sentKeys int     // messages that held the catalog
 	group    errgroup.Group
 	stop     context.CancelFunc
 }
@@ -126,6 +127,11 @@
 			Store: r.store, Clock: clock, Metrics: counts, Address: func() string { return "" },
 		})
 		tracker.SetReader(func() bool { return number < readers }, func(changes discovery.Changes) {
+			for _, item := range changes.Items {
+				if item.Key == standin.ConfigKey {
+					r.sentKeys++
+				}
+			}
 			for other := range r.trackers {
 				if other != number && rand.Float64() >= r.loss {
 					r.trackers[other].Receive(changes)
@@ -156,7 +162,7 @@
 	}
 }
 
-// write writes a random change of one of 40 targets or of a zone, or a new catalog.
+// write writes a random change of one of 40 targets or of a zone.
 func (r *readersAndFollowers) write(born int64) {
 	target := &standin.Replica{ID: fmt.Sprintf("i-%d", rand.IntN(40)), Service: "pool", Slots: 4}
 	zone := standin.ZoneOutKey(fmt.Sprintf("zone-%d", rand.IntN(3)))
@@ -167,8 +173,6 @@
 		r.store.write(newItem(zone, struct{}{}))
 	case 3:
 		r.store.write(removal(zone))
-	case 4:
-		r.store.write(catalogItem(int(born)))
 	default:
 		registration := standin.Registration{Address: "10.0.0.1:80", Zone: "zone-1", Born: born, Sequence: 1, Draining: rand.IntN(5) == 0}
 		r.store.write(newItem(target.Key(), target.Record(registration)))
@@ -233,6 +237,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	perSecond := float64(r.store.callCount()-atStart) / 20
+	r.store.write(catalogItem(int(born)))
 	// The bound of the platform's pages for a change of the configuration is 2 s on the smallest installations.
 	time.Sleep(2 * time.Second)
 	if differing := r.differing(t); differing > 0 {
@@ -244,18 +249,39 @@
 	}
 }
 
-// An entry must not wait for changes that are too large to be sent to it.
-func TestLargeChangesAreReadFromTheStore(t *testing.T) {
+// An entry must not wait for changes that cannot be sent to it, and the catalog, which holds API keys, must not be sent.
+func TestChangesThatAreReadFromTheStore(t *testing.T) {
+	large := targetItem(2)
+	large.Value = append(large.Value[:len(large.Value)-1], fmt.Sprintf(`,"padding":"%08000d"}`, 0)...)
+	for name, item := range map[string]platform.Item{"too large": large, "catalog": catalogItem(5)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReadersAndFollowers(5, 0)
+				defer r.stop()
+				time.Sleep(time.Second)
+				r.store.write(item)
+				time.Sleep(300 * time.Millisecond)
+				if differing := r.differing(t); differing > 0 {
+					t.Errorf("after 0.3 s, %d of 5 entries have other records than the store", differing)
+				}
+				if r.sentKeys > 0 {
+					t.Errorf("%d messages between entries held the catalog", r.sentKeys)
+				}
+			})
+		})
+	}
+}
+
+// Whoever sends datagrams must not be able to replace the catalog.
+func TestCatalogFromAnotherEntryIsIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newReadersAndFollowers(5, 0)
+		r := newReadersAndFollowers(3, 0)
 		defer r.stop()
 		time.Sleep(time.Second)
-		large := catalogItem(5)
-		large.Value = append(large.Value[:len(large.Value)-1], fmt.Sprintf(`,"padding":"%08000d"}`, 0)...)
-		r.store.write(large)
-		time.Sleep(300 * time.Millisecond)
-		if differing := r.differing(t); differing > 0 {
-			t.Errorf("after 0.3 s, %d of 5 entries have another catalog than the store", differing)
+		r.trackers[2].Receive(discovery.Changes{From: 1, To: 9, Items: []platform.Item{catalogItem(99)}})
+		time.Sleep(time.Second)
+		if version := r.trackers[2].View().Catalog.Version; version != 4 {
+			t.Errorf("the entry has version %d", version)
 		}
 	})
 }
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -89,7 +89,7 @@
 	behindSince lovageshift.Millis
 	// spread is the part of spreadMillis that applies to the next call to the store.
 	spread lovageshift.Millis
-	// fetch is set if a reader sent that there are changes too large to send.
+	// fetch is set if a reader sent that there are changes to read from the store.
 	fetch bool
 	// onChange holds the functions that publish calls with each new view.
 	onChange []func(*catalog.View)
@@ -208,7 +208,7 @@
 }
 
 // mustAsk reports whether an entry that is not a reader has to ask the store itself: while the store is unreachable for
-// it, if a reader sent that there are large changes, or if one of the conditions at maxUnconfirmedMillis holds.
+// it, if a reader sent that there are changes to read, or if one of the conditions at maxUnconfirmedMillis holds.
 func (t *Tracker) mustAsk() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -217,7 +217,7 @@
 	if !behind && !t.fetch && !t.storeUnreachable && age < maxUnconfirmedMillis+t.spread {
 		return false
 	}
-	t.log.Info("storeAsked", "behind", behind, "largeChanges", t.fetch, "viewAgeMillis", age)
+	t.log.Info("storeAsked", "behind", behind, "changesToRead", t.fetch, "viewAgeMillis", age)
 	t.behindSince, t.fetch = 0, false
 	t.spread = lovageshift.Millis(rand.Int64N(int64(spreadMillis)))
 	return true
@@ -259,7 +259,7 @@
 	switch {
 	case changes.To <= revision:
 		return revision
-	case changes.TooLarge:
+	case changes.ReadStore:
 		t.requestFetch()
 		return revision
 	case changes.From > revision: // changes before these were lost
@@ -271,7 +271,9 @@
 		t.storeBackAt = max(t.storeBackAt, now-changes.StoreBack)
 	}
 	for _, item := range changes.Items {
-		t.records.Apply(now, t.storeBackAt, item)
+		if maySend(item) {
+			t.records.Apply(now, t.storeBackAt, item)
+		}
 	}
 	t.publish()
 	t.metrics.Add(metrics.StoreCalls, "savedByReader", 1)
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -66,7 +66,7 @@
 		if other.aliveAt == 0 || now-other.aliveAt >= forgetMillis/2 || other.leaving {
 			continue
 		}
-		number := ipv4Number(other.address)
+		number := IPv4Number(other.address)
 		update.MemberSteps = append(update.MemberSteps, number-last)
 		update.MemberSequences = append(update.MemberSequences, uint32(other.heartbeat&heartbeatMask))
 		last = number
@@ -96,8 +96,11 @@
 	m.sorted = slices.Insert(m.sorted, at, address)
 }
 
-// ipv4Number returns an IPv4 address as the number that stands for it in messages.
-func ipv4Number(address netip.Addr) uint32 {
+// IPv4Number returns an IPv4 address as the number that stands for it in messages, 0 for an invalid address.
+func IPv4Number(address netip.Addr) uint32 {
+	if !address.Is4() {
+		return 0
+	}
 	octets := address.As4()
 	return binary.BigEndian.Uint32(octets[:])
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -148,13 +148,18 @@
 			if !r.headerSent {
 				r.writeHeader(response, -1)
 			}
-			g.scheduler.Release(g.clock.Now(), slot, placement.Result{FirstEvent: r.summary.firstEvent, Outcome: placement.Served})
+			g.outputs.add(r.route.ID, r.summary.events*r.tokensPerEvent)
+			g.scheduler.Release(g.clock.Now(), slot, placement.Result{
+				FirstEvent: r.summary.firstEvent, TokenMicros: r.tokenMicros(), Outcome: placement.Served,
+			})
 			return attemptResult{done: true}
 		default:
 			if ctx.Err() == nil {
 				r.recordCrash(err)
 			}
-			g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: r.bodyErrorOutcome(ctx, err)})
+			g.scheduler.Release(g.clock.Now(), slot, placement.Result{
+				TokenMicros: r.tokenMicros(), Outcome: r.bodyErrorOutcome(ctx, err),
+			})
 			return attemptResult{refusal: lovageshift.Unknown(r.interruptReason(ctx), err.Error())}
 		}
 		if !r.headerSent {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,8 @@
 	retryBudget  *retry.WindowBudget
 	refused      *refusedRequests
 	suspects     *suspects
+	outputs      *outputAverages
+	self         netip.Addr // this entry's address
 	// revocation is Options.Revocation.
 	revocation  lovageshift.Millis
 	draining    atomic.Bool
@@ -105,6 +107,7 @@
 		retryBudget: retry.NewWindowBudget(options.Retry),
 		refused:     newRefusedRequests(),
 		suspects:    newSuspects(options.Log),
+		outputs:     newOutputAverages(),
 		revocation:  options.Revocation,
 	}
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
@@ -202,9 +205,11 @@
 	update := &wire.EntryNews{Refused: g.refused.takeUnreported(), Suspects: g.suspects.report(now)}
 	revision, age := g.tracker.RevisionAge()
 	update.StoreRevision, update.ViewAgeMillis = revision, int64(age)
-	for hash, running := range g.scheduler.OwnRunning() {
+	for hash, load := range g.scheduler.OwnRunning() {
 		update.Targets = append(update.Targets, uint32(hash))
-		update.Running = append(update.Running, uint32(running))
+		update.Running = append(update.Running, uint32(load.Running))
+		update.Granted = append(update.Granted, uint32(load.Granted))
+		update.Granters = append(update.Granters, exchange.IPv4Number(load.Granter))
 	}
 	for hash, left := range g.scheduler.ColdRemaining(now) {
 		update.Cold = append(update.Cold, uint32(hash))
@@ -246,12 +251,7 @@
 		g.meter.ApplyRemoteUsage(now, account,
 			lovageshift.Tokens(use.Used-last.GetUsed()), lovageshift.Tokens(use.Declared-last.GetDeclared()))
 	}
-	running := make(map[placement.TargetHash]int, len(update.Targets))
-	for i, hash := range update.Targets {
-		if i < len(update.Running) {
-			running[placement.TargetHash(hash)] = int(update.Running[i])
-		}
-	}
+	running := g.peerRunning(update)
 	if update.Leaving {
 		running = nil
 	}
@@ -261,6 +261,26 @@
 	g.scheduler.UpdatePeer(now, from, running)
 }
 
+// peerRunning returns the requests that the sender of the update has at each target.
+func (g *Gateway) peerRunning(update *wire.EntryNews) map[placement.TargetHash]placement.PeerRunning {
+	self := exchange.IPv4Number(g.self)
+	running := make(map[placement.TargetHash]placement.PeerRunning, len(update.Targets))
+	for i, hash := range update.Targets {
+		if i >= len(update.Running) {
+			break
+		}
+		peer := placement.PeerRunning{Running: int(update.Running[i]), GrantedHere: placement.UnknownGrants}
+		if i < len(update.Granted) && i < len(update.Granters) {
+			peer.GrantedHere = 0
+			if update.Granters[i] == self {
+				peer.GrantedHere = int(update.Granted[i])
+			}
+		}
+		running[placement.TargetHash(hash)] = peer
+	}
+	return running
+}
+
 // coldTargets returns for how many more milliseconds each target that is cold by the update stays cold; for cold
 // targets see catalog.Target.ColdUntil and placement.ColdBounds.
 func coldTargets(update *wire.EntryNews) map[placement.TargetHash]lovageshift.Millis {
@@ -297,7 +317,7 @@
 
 func storeChanges(message *wire.StoreChanges) discovery.Changes {
 	changes := discovery.Changes{
-		From: message.FromRevision, To: message.ToRevision, TooLarge: message.TooLarge,
+		From: message.FromRevision, To: message.ToRevision, ReadStore: message.ReadStore,
 		StoreBack: lovageshift.Millis(message.StoreBackMillis),
 	}
 	for _, record := range message.Records {
@@ -308,7 +328,7 @@
 
 func storeChangesMessage(changes discovery.Changes) *wire.StoreChanges {
 	message := &wire.StoreChanges{
-		FromRevision: changes.From, ToRevision: changes.To, TooLarge: changes.TooLarge,
+		FromRevision: changes.From, ToRevision: changes.To, ReadStore: changes.ReadStore,
 		StoreBackMillis: int64(changes.StoreBack),
 	}
 	for _, item := range changes.Items {
@@ -320,6 +340,7 @@
 // SetPeers sets how the other entries are reached. It must be called before the first request is served and before the
 // tracker runs.
 func (g *Gateway) SetPeers(peers reservation.Peers) {
+	g.self = peers.Self()
 	g.reservations.SetPeers(peers)
 	isReader := func() bool { return g.reservations.AmongFirst(readTask, readerCount) }
 	g.tracker.SetReader(isReader, func(changes discovery.Changes) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -319,6 +319,10 @@
 		QueueDeadline: r.arrived + lovageshift.Millis(float64(objective)*maxWaitShare),
 		PromptTokens:  r.headers.PromptTokens,
 		OutputTokens:  r.headers.OutputTokens,
+
+		ExpectedOutput: r.expectedOutput(),
+		MaxGap:         r.route.MaxGap,
+		Deadline:       r.deadline,
 	}
 	job.RefusedBefore = r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
 	if job.RefusedBefore {
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -25,6 +25,10 @@
 	sentAt     lovageshift.Millis
 	firstByte  lovageshift.Millis
 	firstEvent lovageshift.Millis
+	// targetEvents is the number of events that the last target has sent, and firstEventOfTarget the time from sentAt to the
+	// first of them.
+	targetEvents       int
+	firstEventOfTarget lovageshift.Millis
 	// events is the number of events that all targets together have sent.
 	events int
 	// lastEventAt is when the last event arrived. maxEventGap is the longest time between two successive events, also of
@@ -40,14 +44,18 @@
 // setTarget records the target of a new attempt.
 func (s *requestSummary) setTarget(slot *placement.Slot) {
 	s.target, s.zone, s.running = slot.Target.ID, slot.Target.Zone, slot.Running
-	s.firstByte, s.firstEvent = 0, 0
+	s.firstByte, s.firstEvent, s.targetEvents = 0, 0, 0
 }
 
 func (s *requestSummary) addEvent(now lovageshift.Millis) {
 	if s.events > 0 {
 		s.maxEventGap = max(s.maxEventGap, now-s.lastEventAt)
 	}
+	if s.targetEvents == 0 {
+		s.firstEventOfTarget = now - s.sentAt
+	}
 	s.events++
+	s.targetEvents++
 	s.lastEventAt = now
 }
 
@@ -81,7 +89,7 @@
 	}
 	g.log.Info(logEvent, "request", r.headers.ID, "status", r.summary.status, "detail", detail,
 		"route", route, "rank", rank, "account", account, "cost", r.cost,
-		"prompt", r.headers.PromptTokens, "output", r.headers.OutputTokens,
+		"prompt", r.headers.PromptTokens, "output", r.headers.OutputTokens, "expectedOutput", r.loggedOutput(),
 		"version", r.version, "viewAgeMillis", g.tracker.ViewAge(),
 		"target", r.summary.target, "zone", r.summary.zone, "running", r.summary.running, "tried", r.triedCount(),
 		"throttledMillis", r.summary.throttled, "waitedMillis", r.summary.waited, "firstByteMillis", r.summary.firstByte, "firstEventMillis", r.summary.firstEvent,
@@ -96,3 +104,11 @@
 	}
 	return len(r.job.Tried)
 }
+
+// loggedOutput returns the expected output tokens by which the target was chosen, 0 if the request did not get that far.
+func (r *request) loggedOutput() lovageshift.Tokens {
+	if r.job == nil {
+		return 0
+	}
+	return r.job.ExpectedOutput
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -23,13 +23,30 @@
 	failureWeight = 4
 )
 
-// choose returns the eligible target of the waiter's group with the lowest cost, as computed by the function cost, or
-// nil if no target is eligible.
-func (s *Scheduler) choose(now lovageshift.Millis, w *Waiter) *targetState {
+// freeTargets returns the targets of a group that are in no backoff and have capacity left.
+func (s *Scheduler) freeTargets(now lovageshift.Millis, group GroupID) []*targetState {
+	var free []*targetState
+	for _, t := range s.groups[group] {
+		if now >= t.backoffUntil && t.running() < t.capacity() {
+			free = append(free, t)
+		}
+	}
+	return free
+}
+
+// prediction tells whether a target is expected to serve a job well enough.
+type prediction func(t *targetState, now lovageshift.Millis, job *Job) bool
+
+// anyTarget is the prediction that every target serves the job well enough.
+func anyTarget(*targetState, lovageshift.Millis, *Job) bool { return true }
+
+// choose returns the eligible one of the free targets with the lowest cost, as computed by the function cost, of those that
+// are expected to serve the waiter's job well enough. It returns nil if there is none.
+func (s *Scheduler) choose(now lovageshift.Millis, free []*targetState, w *Waiter, wellEnough prediction) *targetState {
 	var best *targetState
 	var lowest float64
-	for _, t := range s.groups[w.group] {
-		if !s.eligible(now, t, w) {
+	for _, t := range free {
+		if !s.eligible(now, t, w) || !wellEnough(t, now, w.job) {
 			continue
 		}
 		c := cost(now, t, w.job)
@@ -40,13 +57,11 @@
 	return best
 }
 
-// eligible reports whether the target may get the waiter's job now: it is not in a backoff, has capacity left, was not
-// tried for the job and, if it may be cold, the waiter may get a cold target, this entry has a quorum and the target is
-// below its cold limit.
+// eligible reports whether a free target may get the waiter's job now: it was not tried for the job, it still has
+// capacity and, if it may be cold, the waiter may get a cold target, this entry has a quorum and the target is below its
+// cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
-	case now < t.backoffUntil:
-		return false
 	case t.mayBeCold(now) && !(w.mayGetCold && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
 		return false
 	case t.running() >= t.capacity():
@@ -56,6 +71,19 @@
 	}
 }
 
+// bestPrediction returns the prediction that a job's target has to fulfil if possible: the strictest one that some targets
+// of the group fulfil. Targets that are busy count too, but not those in a backoff.
+func (s *Scheduler) bestPrediction(now lovageshift.Millis, group GroupID, job *Job) prediction {
+	for _, strict := range []prediction{(*targetState).onTime, (*targetState).completesInTime} {
+		for _, t := range s.groups[group] {
+			if now >= t.backoffUntil && strict(t, now, job) {
+				return strict
+			}
+		}
+	}
+	return anyTarget
+}
+
 // coldLimit returns how many requests this entry may assign to a cold target within coldWindow: its share of
 // ColdBounds, but at least 1.
 func (s *Scheduler) coldLimit(t *targetState) int {
--- a/placement/job.go
+++ b/placement/job.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"net/netip"
+
 	"lovageshift"
 	"lovageshift/catalog"
 )
@@ -26,6 +28,13 @@
 	QueueDeadline lovageshift.Millis
 	PromptTokens  lovageshift.Tokens
 	OutputTokens  lovageshift.Tokens
+	// ExpectedOutput is the expected number of output tokens, 0 if it is not known. OutputTokens is the most that the
+	// request may have, often many times as many.
+	ExpectedOutput lovageshift.Tokens
+	// MaxGap is the longest pause between two events with which the answer is still on time, 0 for no limit.
+	MaxGap lovageshift.Millis
+	// Deadline is when the answer must be complete, 0 for no deadline.
+	Deadline lovageshift.Millis
 	// RefusedBefore reports whether the caller repeats the request after a refusal. Such a request has missed its
 	// objective already, so it comes after the others of its rank. Its entry sets QueueDeadline by another rule, as a
 	// second refusal would lose it: the caller is not expected to repeat it again.
@@ -51,6 +60,7 @@
 	OnRelease    func(Result)
 	promptTokens lovageshift.Tokens
 	state        *targetState
+	granter      netip.Addr // the other entry that granted the slot, invalid if this entry assigned it itself
 }
 
 // Refusal says why a job got no slot.
@@ -87,6 +97,9 @@
 	// mayGetCold reports whether the waiter may get a cold target (see the package comment): only if this entry was the
 	// group's coordinator or backup at the submission, and so knew the requests at the group's targets.
 	mayGetCold bool
+	// wellEnough is what the target has to fulfil. In place of a refusal, the request also gets one that is only expected to
+	// complete it by its deadline.
+	wellEnough prediction
 	// onDecision is called once with either the chosen target or the refusal, unless the waiter is canceled first. It
 	// must not call the scheduler.
 	onDecision func(*targetState, *Refusal)
@@ -97,7 +110,9 @@
 	// FirstEvent is the time from sending the request to the first event, or to a whole answer; 0 if there was none or
 	// it is not known.
 	FirstEvent lovageshift.Millis
-	Outcome    Outcome
+	// TokenMicros is the mean time between two output tokens of a stream, in microseconds, 0 if it is not known.
+	TokenMicros int64
+	Outcome     Outcome
 }
 
 // Outcome says how a request with a slot ended, as far as the scheduler rates the target by it.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -243,11 +243,30 @@
 	})
 	Convey("Requests that another entry reports take up slots even if this entry did not grant them, until the other entry is unresponsive", t, func() {
 		s := newScheduler(service, targets(1, 2)...)
-		s.UpdatePeer(1, peer, map[placement.TargetHash]int{placement.HashOf("i-0"): 2})
+		s.UpdatePeer(1, peer, map[placement.TargetHash]placement.PeerRunning{placement.HashOf("i-0"): {Running: 2}})
 		So(reserve(s, 2, 7).Granted, ShouldBeFalse)
 		s.Tick(5000)
 		So(reserve(s, 5001, 8).Granted, ShouldBeTrue)
 	})
+	Convey("A request that ended takes up no slot, though the other entry reported it in its last state update", t, func() {
+		for _, grantedHere := range []int{1, 2} {
+			s := newScheduler(service, targets(1, 2)...)
+			So(reserve(s, 1, 7).Granted, ShouldBeTrue)
+			So(reserve(s, 1, 8).Granted, ShouldBeTrue)
+			s.UpdatePeer(2, peer, map[placement.TargetHash]placement.PeerRunning{placement.HashOf("i-0"): {Running: 2, GrantedHere: grantedHere}})
+			s.EndReservation(3, peer, 7, placement.Result{Outcome: placement.Served})
+			s.EndReservation(3, peer, 8, placement.Result{Outcome: placement.Served})
+			So(reserve(s, 4, 9).Granted, ShouldBeTrue)
+			// A request that another entry granted still counts.
+			So(reserve(s, 4, 10).Granted, ShouldEqual, grantedHere == 2)
+		}
+	})
+	Convey("An entry of an earlier build does not tell who granted its slots, so that the larger number counts", t, func() {
+		s := newScheduler(service, targets(1, 2)...)
+		So(reserve(s, 1, 7).Granted, ShouldBeTrue)
+		s.UpdatePeer(2, peer, map[placement.TargetHash]placement.PeerRunning{placement.HashOf("i-0"): {Running: 2, GrantedHere: placement.UnknownGrants}})
+		So(reserve(s, 3, 8).Granted, ShouldBeFalse)
+	})
 }
 
 // endsAt submits requests of two ranks for 8 s at factor times the rate that the slots can serve. For each rank it
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -64,7 +64,11 @@
 
 // workOf estimates how long a job holds its slot, in multiples of the time that an engine takes for one output token.
 func workOf(job *Job) float64 {
-	return 1 + float64(job.OutputTokens) + float64(job.PromptTokens)/promptPerOutput
+	output := job.ExpectedOutput
+	if output == 0 {
+		output = job.OutputTokens
+	}
+	return 1 + float64(output) + float64(job.PromptTokens)/promptPerOutput
 }
 
 // recordGrant counts the slot given to a request. Unless the request was promoted, it credits each less urgent rank
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -65,6 +65,7 @@
 	groups          map[GroupID][]*targetState
 	groupsByService map[catalog.ServiceID][]GroupID
 	queues          map[GroupID]*queue
+	speeds          map[catalog.ServiceID]*serviceSpeeds
 	// peerTimeout is how long another entry's load and reservations count after peerSeenAt.
 	peerTimeout lovageshift.Millis
 	// peerSeenAt is when each other entry last sent a state update or a new, not repeated, request for a slot.
@@ -89,6 +90,7 @@
 		groups:          map[GroupID][]*targetState{},
 		groupsByService: map[catalog.ServiceID][]GroupID{},
 		queues:          map[GroupID]*queue{},
+		speeds:          map[catalog.ServiceID]*serviceSpeeds{},
 		peerSeenAt:      map[netip.Addr]lovageshift.Millis{},
 		reservations:    map[reservationKey]*reservation{},
 		endedAt:         map[reservationKey]lovageshift.Millis{},
@@ -130,7 +132,7 @@
 	}
 	t := s.targets[id]
 	if t == nil || t.Born != registered.Born || t.Address != registered.Address {
-		fresh := newTargetState(registered, service)
+		fresh := newTargetState(registered, service, s.speedsOf(service.ID))
 		if t != nil {
 			// The grants within coldWindow count for the new incarnation too, as those requests may have arrived at it,
 			// and so does maybeColdUntil.
@@ -143,6 +145,15 @@
 	t.Target, t.service = registered, service
 }
 
+func (s *Scheduler) speedsOf(service catalog.ServiceID) *serviceSpeeds {
+	speeds := s.speeds[service]
+	if speeds == nil {
+		speeds = &serviceSpeeds{}
+		s.speeds[service] = speeds
+	}
+	return speeds
+}
+
 // regroup divides each service's targets into groups by rendezvous hashing, so that few targets change their group when
 // the number of groups changes. Targets that must not get new requests (see catalog.View.MaySend) count toward the
 // number of groups, but are put into none.
@@ -169,15 +180,31 @@
 	}
 }
 
-// OwnRunning returns the number of this entry's requests at each target that has any, as its state updates report them.
-func (s *Scheduler) OwnRunning() map[TargetHash]int {
+// OwnLoad is the number of this entry's requests at a target.
+type OwnLoad struct {
+	Running int
+	// Granted is how many of them have a slot that the entry at Granter granted: of the other entries the one that granted
+	// most. Both are zero if this entry assigned all of them itself.
+	Granter netip.Addr
+	Granted int
+}
+
+// OwnRunning returns this entry's requests at each target that has any, as its state updates report them.
+func (s *Scheduler) OwnRunning() map[TargetHash]OwnLoad {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	running := map[TargetHash]int{}
+	running := map[TargetHash]OwnLoad{}
 	for hash, t := range s.byHash {
-		if t.own > 0 {
-			running[hash] = t.own
+		if t.own == 0 {
+			continue
+		}
+		load := OwnLoad{Running: t.own}
+		for granter, count := range t.ownByGranter {
+			if count > load.Granted {
+				load.Granter, load.Granted = granter, count
+			}
 		}
+		running[hash] = load
 	}
 	return running
 }
@@ -211,19 +238,19 @@
 // UpdatePeer records how many requests another entry has at each target, as its state update reports. Reservations of
 // that entry are dropped if for longer than unconfirmedMillis it has reported fewer requests at their target than it
 // has reserved there.
-func (s *Scheduler) UpdatePeer(now lovageshift.Millis, from netip.Addr, running map[TargetHash]int) {
+func (s *Scheduler) UpdatePeer(now lovageshift.Millis, from netip.Addr, running map[TargetHash]PeerRunning) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.peerSeenAt[from] = now
 	for hash, t := range s.byHash {
 		reported := running[hash]
 		load := t.peers[from]
-		if load == nil && reported == 0 {
+		if load == nil && reported.Running == 0 {
 			continue
 		}
 		t.updatePeer(now, from, func(l *peerLoad) { l.reported = reported })
-		if load != nil && load.reserved > reported && now-load.confirmedAt > unconfirmedMillis {
-			s.dropReservations(now, t, from, load.reserved-reported)
+		if load != nil && load.reserved > load.confirmed() && now-load.confirmedAt > unconfirmedMillis {
+			s.dropReservations(now, t, from, load.reserved-load.confirmed())
 		}
 	}
 	s.assignAll(now, noWaiter)
@@ -314,7 +341,10 @@
 
 func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, mayAssignCold bool, job *Job, onDecision func(*targetState, *Refusal)) *Waiter {
 	s.submitted++
-	w := &Waiter{job: job, group: group, mayGetCold: mayAssignCold, number: s.submitted, onDecision: onDecision}
+	w := &Waiter{
+		job: job, group: group, mayGetCold: mayAssignCold, number: s.submitted, onDecision: onDecision,
+		wellEnough: s.bestPrediction(now, group, job),
+	}
 	q := s.queues[group]
 	if q == nil {
 		q = newQueue()
@@ -341,10 +371,10 @@
 	s.queues[w.group].remove(w)
 }
 
-// AcquireGranted takes a slot that another entry granted to the job, at the incarnation of the target that started at
+// AcquireGranted takes a slot that the entry at the address granter granted to the job, at the incarnation of the target that started at
 // born; running is how many requests were at the target as far as the granting entry knew. It returns nil if this entry
 // does not know that incarnation.
-func (s *Scheduler) AcquireGranted(now lovageshift.Millis, hash TargetHash, born int64, running int, job *Job) *Slot {
+func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, hash TargetHash, born int64, running int, job *Job) *Slot {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.byHash[hash]
@@ -352,7 +382,8 @@
 		return nil
 	}
 	slot := s.acquire(now, t, job)
-	slot.Running = running
+	slot.Running, slot.granter = running, granter
+	t.ownByGranter[granter]++
 	return slot
 }
 
@@ -382,6 +413,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	slot.state.own--
+	if slot.granter.IsValid() {
+		slot.state.releaseGranted(slot.granter)
+	}
 	slot.state.recordResult(now, slot.promptTokens, result)
 	s.assignService(now, slot.state.Service)
 	if slot.OnRelease != nil {
@@ -424,26 +458,18 @@
 		return
 	}
 	q.promote()
-	ahead, noneEligible := 0, false
+	free := s.freeTargets(now, group)
+	ahead := 0
 	aheadByRank := map[lovageshift.Rank]int{}
 	q.removeIf(func(w *Waiter) bool {
-		var chosen *targetState
-		// noneEligible is set once a request finds no eligible target although it may get any target of the group: its
-		// Tried is empty and it may get a cold one. Then no target is eligible for the requests behind it either. Those
-		// with a Tried list are searched for all the same.
-		if !noneEligible || len(w.job.Tried) > 0 {
-			chosen = s.choose(now, w)
-			noneEligible = noneEligible || (chosen == nil && w.mayGetCold && len(w.job.Tried) == 0)
-		}
-		if chosen != nil {
+		if chosen := s.choose(now, free, w, w.wellEnough); chosen != nil {
 			s.grant(now, q, w, chosen)
 			return true
 		}
 		if judge(w) {
 			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
 			if now+expected >= w.job.QueueDeadline {
-				w.done = true
-				w.onDecision(nil, s.newRefusal(now, group, w.job, expected, ahead))
+				s.giveUp(now, q, w, free, expected, ahead)
 				return true
 			}
 		}
@@ -453,6 +479,17 @@
 	})
 }
 
+// giveUp ends the wait of a request that is expected to get no slot in time. It gets a free target at which it is expected
+// to be late, but complete by its deadline, or else a refusal.
+func (s *Scheduler) giveUp(now lovageshift.Millis, q *queue, w *Waiter, free []*targetState, expected lovageshift.Millis, ahead int) {
+	if chosen := s.choose(now, free, w, (*targetState).completesInTime); chosen != nil {
+		s.grant(now, q, w, chosen)
+		return
+	}
+	w.done = true
+	w.onDecision(nil, s.newRefusal(now, w.group, w.job, expected, ahead))
+}
+
 func (s *Scheduler) grant(now lovageshift.Millis, q *queue, w *Waiter, chosen *targetState) {
 	q.recordGrant(now, w)
 	if chosen.service.ColdPerSecond > 0 {
--- a/placement/target.go
+++ b/placement/target.go
@@ -27,6 +27,21 @@
 	promptOffset = 0.5
 	// The value used for promptLatency before the first measurement, in milliseconds per thousand prompt tokens.
 	initialPromptLatency = 15
+	// A measured tokenMillis counts for this long. A target that is known to be slow gets few streams that could show that
+	// it is faster again.
+	tokenTTL lovageshift.Millis = 10_000
+	// Weight of a new value in the moving average tokenMillis. Few streams are long enough to measure it, and a target that
+	// has turned slow should be known as such soon.
+	tokenWeight = 0.3
+	// Weight of a new value in the moving average tokenPerPrompt, to which all targets of a service contribute.
+	ratioWeight = 0.05
+	// Estimates of the output are often too low by this factor.
+	outputMargin = 2
+	// A stream of up to this many events has too few pauses between them to count on.
+	fewEvents = 2
+	// Pauses between events are uneven, as the target reads other prompts meanwhile. Streams from a target whose mean pause
+	// exceeds this share of the longest one allowed are mostly late.
+	maxGapShare = 0.5
 	// If the state updates of an entry report fewer requests at a target than it has reserved there for longer than
 	// this, the messages that ended the excess reservations were probably lost, and these are dropped.
 	unconfirmedMillis lovageshift.Millis = 400
@@ -36,8 +51,10 @@
 type targetState struct {
 	*catalog.Target
 	service *catalog.Service
-	// own counts the slots that this entry holds at the target for its own requests.
-	own int
+	// own counts the slots that this entry holds at the target for its own requests, ownByGranter those of them that each
+	// other entry granted.
+	own          int
+	ownByGranter map[netip.Addr]int
 	// peers holds the load of the other entries that have requests at the target, by the entries' addresses.
 	peers map[netip.Addr]*peerLoad
 	// peerRunning is the sum of peerLoad.count over peers.
@@ -51,6 +68,12 @@
 	// promptLatency is the moving average of the milliseconds to the first event per unit of promptUnits (a thousand
 	// prompt tokens), 0 before the first measurement.
 	promptLatency float64
+	// tokenMillis is the moving average of the milliseconds between two output tokens of a stream, as measured last at
+	// tokenMeasuredAt, 0 before the first measurement.
+	tokenMillis     float64
+	tokenMeasuredAt lovageshift.Millis
+	// speeds is shared by the targets of the service.
+	speeds *serviceSpeeds
 	// maybeColdUntil is the time until which the target may be cold although this entry's view does not say so: a
 	// connection to it failed or was lost, or another entry reported it as cold.
 	maybeColdUntil lovageshift.Millis
@@ -63,16 +86,42 @@
 // peerLoad counts the requests of one other entry at a target.
 type peerLoad struct {
 	reserved int // slots that this entry granted to the other one
-	reported int // requests at the target by the other entry's last state update
-	// confirmedAt is the last time at which reserved was found to be no more than reported.
+	reported PeerRunning
+	// confirmedAt is the last time at which reserved was found to be no more than was reported.
 	confirmedAt lovageshift.Millis
 }
 
-// count returns the larger of reserved and reported, as a new request is included in one of them before the other.
-func (l *peerLoad) count() int { return max(l.reserved, l.reported) }
+// PeerRunning is the number of requests that another entry has at a target, as its last state update reports.
+type PeerRunning struct {
+	Running int
+	// GrantedHere is how many of them have a slot that this entry granted, UnknownGrants if the other entry does not
+	// report that.
+	GrantedHere int
+}
+
+// UnknownGrants stands for an unknown PeerRunning.GrantedHere.
+const UnknownGrants = -1
+
+// count returns the number of the other entry's requests at the target. This entry knows of the slots that it granted
+// itself sooner than the other entry reports them: many requests end before the next state update. So only the others are
+// counted as reported. If the other entry does not tell them apart, the count is the larger of reserved and reported.
+func (l *peerLoad) count() int {
+	if l.reported.GrantedHere == UnknownGrants {
+		return max(l.reserved, l.reported.Running)
+	}
+	return l.reserved + max(l.reported.Running-l.reported.GrantedHere, 0)
+}
+
+// confirmed returns how many slots granted by this entry the other entry reports.
+func (l *peerLoad) confirmed() int {
+	if l.reported.GrantedHere == UnknownGrants {
+		return l.reported.Running
+	}
+	return l.reported.GrantedHere
+}
 
-func newTargetState(registered *catalog.Target, service *catalog.Service) *targetState {
-	return &targetState{Target: registered, service: service, peers: map[netip.Addr]*peerLoad{}}
+func newTargetState(registered *catalog.Target, service *catalog.Service, speeds *serviceSpeeds) *targetState {
+	return &targetState{Target: registered, service: service, speeds: speeds, peers: map[netip.Addr]*peerLoad{}, ownByGranter: map[netip.Addr]int{}}
 }
 
 func (t *targetState) slots() int {
@@ -108,7 +157,7 @@
 	t.peerRunning -= l.count()
 	update(l)
 	t.peerRunning += l.count()
-	if l.reserved <= l.reported {
+	if l.reserved <= l.confirmed() {
 		l.confirmedAt = now
 	}
 	if l.count() == 0 {
@@ -116,6 +165,13 @@
 	}
 }
 
+func (t *targetState) releaseGranted(granter netip.Addr) {
+	t.ownByGranter[granter]--
+	if t.ownByGranter[granter] == 0 {
+		delete(t.ownByGranter, granter)
+	}
+}
+
 // failureShare returns the current value of failureAverage, which decays from failureUpdated on: it halves in each
 // failureHalfLifeMillis, linearly within it, and is 0 after 8 of them.
 func (t *targetState) failureShare(now lovageshift.Millis) float64 {
@@ -148,6 +204,9 @@
 		t.observe(now, false)
 	case Abandoned:
 	}
+	if result.TokenMicros > 0 {
+		t.observeToken(now, float64(result.TokenMicros)/1000)
+	}
 	if result.FirstEvent > 0 {
 		latency := float64(result.FirstEvent) / promptUnits(promptTokens)
 		if t.promptLatency == 0 {
@@ -179,6 +238,67 @@
 	return latency * promptUnits(promptTokens)
 }
 
+// serviceSpeeds relates the two speeds of a service's targets.
+type serviceSpeeds struct {
+	// tokenPerPrompt is the moving average of tokenMillis as a multiple of promptLatency, 0 before the first measurement.
+	tokenPerPrompt float64
+}
+
+func (t *targetState) observeToken(now lovageshift.Millis, millis float64) {
+	if t.tokenMillis == 0 || now-t.tokenMeasuredAt > tokenTTL {
+		t.tokenMillis = millis
+	}
+	t.tokenMillis += tokenWeight * (millis - t.tokenMillis)
+	t.tokenMeasuredAt = now
+	if t.promptLatency == 0 {
+		return
+	}
+	ratio := t.tokenMillis / t.promptLatency
+	if t.speeds.tokenPerPrompt == 0 {
+		t.speeds.tokenPerPrompt = ratio
+	}
+	t.speeds.tokenPerPrompt += ratioWeight * (ratio - t.speeds.tokenPerPrompt)
+}
+
+// predictToken returns the expected milliseconds between two output tokens: as measured lately or, if no stream was long
+// enough to measure it, by the time to the first event. It returns 0 if neither is known.
+func (t *targetState) predictToken(now lovageshift.Millis) float64 {
+	if t.tokenMillis > 0 && now-t.tokenMeasuredAt <= tokenTTL {
+		return t.tokenMillis
+	}
+	return t.promptLatency * t.speeds.tokenPerPrompt
+}
+
+// completes reports whether the target is expected to complete the job by its deadline, and with it to spare if the output
+// is the margin times as long as expected. It is true as long as the target's speed is not known.
+func (t *targetState) completes(now lovageshift.Millis, job *Job, margin float64) bool {
+	perToken := t.predictToken(now)
+	if perToken == 0 || job.ExpectedOutput == 0 || job.Deadline == 0 {
+		return true
+	}
+	duration := t.predictFirstEvent(job.PromptTokens) + margin*float64(job.ExpectedOutput)*perToken
+	return duration <= float64(job.Deadline-now)
+}
+
+// completesInTime reports whether the target is expected to complete the job by its deadline.
+func (t *targetState) completesInTime(now lovageshift.Millis, job *Job) bool {
+	return t.completes(now, job, 1)
+}
+
+// onTime reports whether the target is expected to complete the job by its deadline even if the output is longer than
+// expected, and without a pause between events that makes it late. A job whose first event is late already counts as any
+// other, since a slot at a fast target is of more use to a long answer than to a short one.
+func (t *targetState) onTime(now lovageshift.Millis, job *Job) bool {
+	if !t.completes(now, job, outputMargin) {
+		return false
+	}
+	eventTokens := max(t.service.EventTokens, 1)
+	if job.MaxGap == 0 || int(job.ExpectedOutput) <= fewEvents*eventTokens {
+		return true
+	}
+	return float64(eventTokens)*t.predictToken(now) <= maxGapShare*float64(job.MaxGap)
+}
+
 // observe adds one request, failed or not, to the failure average.
 func (t *targetState) observe(now lovageshift.Millis, failed bool) {
 	share := t.failureShare(now)
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -188,7 +188,7 @@
 		}}, true
 	}
 	hash := placement.TargetHash(reply.Target)
-	slot := c.scheduler.AcquireGranted(now, hash, reply.TargetBorn, int(reply.Running), job)
+	slot := c.scheduler.AcquireGranted(now, coordinator, hash, reply.TargetBorn, int(reply.Running), job)
 	if slot == nil {
 		// The coordinator granted a slot at a target that this entry does not know yet, or no longer knows.
 		c.end(coordinator, id, placement.Result{})
@@ -202,7 +202,7 @@
 // end sends the coordinator the message that a reservation is over, and how the request with its slot ended.
 func (c *Client) end(coordinator netip.Addr, id uint64, result placement.Result) {
 	c.peers.Send(coordinator, &wire.EntryPacket{Body: &wire.EntryPacket_End{End: &wire.ReserveEnd{
-		Id: id, Outcome: int32(result.Outcome), FirstEventMillis: int64(result.FirstEvent),
+		Id: id, Outcome: int32(result.Outcome), FirstEventMillis: int64(result.FirstEvent), TokenMicros: result.TokenMicros,
 	}}})
 }
 
@@ -213,6 +213,10 @@
 		WaitedMillis: int64(now - job.Arrived), PatienceMillis: int64(job.QueueDeadline - now),
 		ObjectiveMillis: int64(job.Objective), PromptTokens: int64(job.PromptTokens), OutputTokens: int64(job.OutputTokens),
 		Returned: job.RefusedBefore, Zone: string(job.Zone),
+		ExpectedOutput: int64(job.ExpectedOutput), MaxGapMillis: int64(job.MaxGap),
+	}
+	if job.Deadline > 0 {
+		message.DeadlineMillis = max(int64(job.Deadline-now), 1)
 	}
 	for _, hash := range job.Tried {
 		message.Tried = append(message.Tried, uint32(hash))
@@ -230,8 +234,9 @@
 		c.deliver(body.Reply)
 	case *wire.EntryPacket_End:
 		result := placement.Result{
-			Outcome:    placement.Outcome(body.End.Outcome),
-			FirstEvent: lovageshift.Millis(body.End.FirstEventMillis),
+			Outcome:     placement.Outcome(body.End.Outcome),
+			FirstEvent:  lovageshift.Millis(body.End.FirstEventMillis),
+			TokenMicros: body.End.TokenMicros,
 		}
 		c.scheduler.EndReservation(now, from, body.End.Id, result)
 	}
@@ -263,6 +268,12 @@
 		OutputTokens:  lovageshift.Tokens(request.OutputTokens),
 		RefusedBefore: request.Returned,
 		Zone:          lovageshift.ZoneID(request.Zone),
+
+		ExpectedOutput: lovageshift.Tokens(request.ExpectedOutput),
+		MaxGap:         lovageshift.Millis(request.MaxGapMillis),
+	}
+	if request.DeadlineMillis > 0 {
+		job.Deadline = now + lovageshift.Millis(request.DeadlineMillis)
 	}
 	for _, hash := range request.Tried {
 		job.Tried = append(job.Tried, placement.TargetHash(hash))
