Collect the use of accounts, count that of restarted entries, and end stalled streams

And a stream that sent a byte or a comment now and then held its slot until the deadline: TestStalledStreams.

Change: an update tells for how long its sender has run; if less than the receiver, all of its use counts. An entry counts as reporting only while it is live.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -44,6 +44,8 @@
 	r.counts = counts
 }
 
+func (r *recorder) Collectors() []netip.Addr { return nil }
+
 func (r *recorder) HandlePacket(lovageshift.Millis, netip.Addr, *wire.EntryPacket) {}
 
 // knownAndLive reports whether the last counts have these numbers, with all live entries reporting.
--- a/exchange/members.go
+++ b/exchange/members.go
@@ -49,9 +49,11 @@
 	// Live is the number of known entries, other than those that are leaving, of which a newer heartbeat became known
 	// within the last 700 ms, plus this one.
 	Live int
-	// Reporting is the number of known entries from which a state update was itself received within ReportTimeout, plus
-	// this one. An entry that is live but cut off from this one does not report.
+	// Reporting is the number of live entries from which a state update was itself received within ReportTimeout, plus this
+	// one. An entry that is live but cut off from this one does not report.
 	Reporting int
+	// RoundIntervals is in how many intervals an entry sends an update to every other.
+	RoundIntervals int
 	// ReportTimeout is how long after its last state update an entry counts as reporting.
 	ReportTimeout lovageshift.Millis
 }
@@ -148,15 +150,16 @@
 // from any member. In every case, Known is at least the number of seeds or, if that is lower, the number of all listed
 // members plus this entry.
 func (m *members) counts(now lovageshift.Millis) MemberCounts {
-	counts := MemberCounts{Known: 1, Live: 1, Reporting: 1, ReportTimeout: reportTimeout(len(m.others))}
+	counts := MemberCounts{Known: 1, Live: 1, Reporting: 1, ReportTimeout: reportTimeout(len(m.others)), RoundIntervals: roundIntervals(len(m.others))}
 	for _, other := range m.others {
 		if other.leaving || (other.aliveAt == 0 && m.receivedAny) {
 			continue
 		}
 		counts.Known++
-		if other.live(now) {
-			counts.Live++
+		if !other.live(now) {
+			continue
 		}
+		counts.Live++
 		if other.receivedAt > 0 && now-other.receivedAt < counts.ReportTimeout {
 			counts.Reporting++
 		}
@@ -184,10 +187,14 @@
 }
 
 // record stores the fields of a member's own state update that the list keeps. It returns the account use that the
-// member's preceding update reported, or nil if this is the first update received from its incarnation.
+// member's preceding update reported. For the first update received from its incarnation, the result is nil unless that
+// incarnation started after this entry, which then does not know any of its use: the result is no use.
 func (m *members) record(now lovageshift.Millis, other *member, update *wire.EntryNews) *AccountUsage {
 	if other.incarnation != update.Incarnation {
 		other.usage, other.firstReceivedAt = nil, now
+		if update.UptimeMillis > 0 && lovageshift.Millis(update.UptimeMillis) < now {
+			other.usage = &AccountUsage{Complete: true}
+		}
 	}
 	previous := other.usage
 	other.usage = previous.merge(update)
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 	// SetMemberCounts applies the numbers of known and live entries. It is called before each state update is sent, whether
 	// or not the numbers have changed.
 	SetMemberCounts(now lovageshift.Millis, counts MemberCounts)
+	// Collectors returns the entries that are sent a state update in every interval, not only when it is their turn. They
+	// may include this one.
+	Collectors() []netip.Addr
 	// HandlePacket handles a datagram that holds no state update, such as a reservation request.
 	HandlePacket(now lovageshift.Millis, from netip.Addr, packet *wire.EntryPacket)
 }
@@ -71,6 +75,7 @@
 	mutex       sync.Mutex
 	members     *members
 	changes     changeTracker
+	collectors  []netip.Addr // the last result of State.Collectors
 	sequence    uint64
 	incarnation uint64
 	leaving     bool
@@ -215,9 +220,30 @@
 	return max(liveTimeoutMillis, 2*round+reportSlackMillis)
 }
 
-// nextMembers returns the members whose turn it is. The caller must hold n.mutex.
+// nextMembers returns the members whose turn it is and the collectors. The caller must hold n.mutex.
 func (n *Node) nextMembers() []*member {
-	return n.members.next(membersPerInterval(len(n.members.others)))
+	due := n.members.next(membersPerInterval(len(n.members.others)))
+	for _, address := range n.collectors {
+		if other := n.members.others[address]; other != nil && !slices.Contains(due, other) {
+			due = append(due, other)
+		}
+	}
+	return due
+}
+
+// Incarnation returns the random number of this incarnation.
+func (n *Node) Incarnation() uint64 { return n.incarnation }
+
+// Reported returns the incarnation of another entry and the use of accounts that it has reported, nil if it has reported
+// none. The usage must not be changed.
+func (n *Node) Reported(address netip.Addr) (uint64, *AccountUsage) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	other := n.members.others[address]
+	if other == nil {
+		return 0, nil
+	}
+	return other.incarnation, other.usage
 }
 
 // allMembers returns all members. The caller must hold n.mutex.
@@ -234,8 +260,9 @@
 // members that members.expire finds expired.
 func (n *Node) sendUpdate(receivers func() []*member) {
 	now := n.clock.Now()
-	update := n.state.StateUpdate(now)
+	update, collectors := n.state.StateUpdate(now), n.state.Collectors()
 	n.mutex.Lock()
+	n.collectors = collectors
 	updates, err := n.prepareUpdates(now, update, receivers())
 	n.members.expire(now)
 	counts := n.members.counts(now)
@@ -256,7 +283,7 @@
 	n.sequence++
 	update.Incarnation, update.Sequence, update.Leaving = n.incarnation, n.sequence, n.leaving
 	update.AcceptsChangedAccounts, update.ProcessorMillicores = true, uint32(n.processor)
-	update.SentAt = uint64(n.clock.SinceBoot())
+	update.SentAt, update.UptimeMillis = uint64(n.clock.SinceBoot()), uint64(now)
 	n.members.list(now, update)
 	roundTicks := roundIntervals(len(n.members.others))
 	n.changes.add(update, roundTicks)
@@ -285,7 +312,7 @@
 // some rounds in any case. The caller must hold n.mutex.
 func (n *Node) needsCompleteList(now lovageshift.Millis, other *member, roundTicks int) bool {
 	round := n.changes.tick / uint64(roundTicks)
-	isNew := now-other.firstReceivedAt < reportTimeout(len(n.members.others))
+	isNew := other.receivedAt == 0 || now-other.firstReceivedAt < reportTimeout(len(n.members.others))
 	return !other.acceptsChanges || isNew || round%roundsPerCompleteList == 0
 }
 
--- a/exchange/scale_test.go
+++ b/exchange/scale_test.go
@@ -160,6 +160,8 @@
 	return s.counts
 }
 
+func (s *loadedState) Collectors() []netip.Addr { return nil }
+
 func (s *loadedState) HandlePacket(lovageshift.Millis, netip.Addr, *wire.EntryPacket) {}
 
 // simulated is an installation of entries in virtual time.
@@ -330,3 +332,52 @@
 	t.Logf("entries %d: joined after %v, loss noticed after %v, return after %v, %.0f datagrams per second of %.0f bytes",
 		count, joined, noticed, back, perSecond, mean)
 }
+
+// The use of a restarted entry must count from its start, though its first state update arrives only when it is the
+// receiver's turn. Otherwise a restart of many entries lets accounts exceed their rates.
+func TestUseOfRestartedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 103
+		s := newSimulated(count, 0)
+		defer s.stop()
+		s.until(s.sample(), count-1, joinWithin)
+		time.Sleep(2 * time.Second)
+		restarted := s.entries[50]
+		restarted.stop()
+		_ = restarted.socket.Close()
+		time.Sleep(time.Second)
+		for _, e := range s.entries {
+			e.state.forget(restarted.address)
+		}
+		s.start(50)
+		time.Sleep(2 * time.Second)
+		used := s.entries[len(s.entries)-1].state.takenByNow()
+		for _, e := range s.sample() {
+			if e == restarted {
+				continue
+			}
+			// Up to one round of the use may not be reported yet.
+			if reported := e.state.reportedBy(restarted.address); reported < used-1000 || reported > used {
+				t.Errorf("an entry knows of %d of the %d tokens that a restarted one took", reported, used)
+			}
+		}
+	})
+}
+
+func (s *loadedState) forget(address netip.Addr) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.reported, address)
+}
+
+func (s *loadedState) reportedBy(address netip.Addr) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reported[address]
+}
+
+func (s *loadedState) takenByNow() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.taken
+}
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -22,7 +22,8 @@
 	merged := &AccountUsage{Complete: !update.ChangedAccountsOnly}
 	if u != nil && update.ChangedAccountsOnly {
 		merged.ByHash, merged.Complete = maps.Clone(u.ByHash), u.Complete
-	} else {
+	}
+	if merged.ByHash == nil {
 		merged.ByHash = make(map[uint32]*wire.AccountUse, len(update.Accounts))
 	}
 	for _, use := range update.Accounts {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -18,10 +18,10 @@
 // forward forwards the response to the caller, event by event if it is a successful stream, or retries the request
 // after a complete response with a 5xx status. It releases the slot once the target's response has been received or has
 // failed.
-func (r *request) forward(ctx context.Context, slot *placement.Slot, response *upstream.TargetResponse) attemptResult {
+func (r *request) forward(ctx context.Context, cancel context.CancelFunc, slot *placement.Slot, response *upstream.TargetResponse) attemptResult {
 	success := response.Status >= 200 && response.Status < 300
 	if r.route.Kind == catalog.KindStream && success {
-		return r.forwardStream(ctx, slot, response)
+		return r.forwardStream(ctx, cancel, slot, response)
 	}
 	return r.forwardBody(ctx, slot, response, success)
 }
@@ -135,13 +135,16 @@
 
 // forwardStream forwards each event as soon as it is complete, and releases the slot when the stream ends or fails. It
 // flushes after an event unless a part of the next one is already buffered, so that events that arrive together are
-// sent together.
-func (r *request) forwardStream(ctx context.Context, slot *placement.Slot, response *upstream.TargetResponse) attemptResult {
+// sent together. It gives up a stream that has stalled; the function cancel ends the reading of the response.
+func (r *request) forwardStream(ctx context.Context, cancel context.CancelFunc, slot *placement.Slot, response *upstream.TargetResponse) attemptResult {
 	g := r.gateway
+	stall := r.watchForStall(cancel)
+	defer stall.stop()
 	events := response.Events()
 	flusher, _ := r.w.(http.Flusher)
 	for {
 		event, err := events.Next()
+		stall.received(event)
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
@@ -153,6 +156,10 @@
 				FirstEvent: r.summary.firstEvent, TokenMicros: r.tokenMicros(), Outcome: placement.Served,
 			})
 			return attemptResult{done: true}
+		case stall.stalled.Load() && ctx.Err() == nil:
+			g.log.Info("streamStalled", "request", r.headers.ID, "target", slot.Target.ID, "afterMillis", stall.limit, "events", r.summary.events)
+			g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Failed})
+			return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineTimeout, "the stream stalled")}
 		default:
 			if ctx.Err() == nil {
 				r.recordCrash(err)
@@ -179,6 +186,7 @@
 		if flusher != nil && !events.Buffered() {
 			flusher.Flush()
 		}
+		stall.resume()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,10 @@
 	suspects     *suspects
 	outputs      *outputAverages
 	self         netip.Addr // this entry's address
+	peers        Peers
+	// roundIntervals is the last MemberCounts.RoundIntervals, levelsAt when levels of the first collector last arrived.
+	roundIntervals atomic.Int64
+	levelsAt       atomic.Int64
 	// revocation is Options.Revocation.
 	revocation  lovageshift.Millis
 	draining    atomic.Bool
@@ -122,19 +126,23 @@
 	g.scheduler.SetView(now, view)
 }
 
-// Run calls the scheduler's Tick and closes idle connections that have been idle for too long or whose target gets no
-// new requests, both at regular intervals, until the context ends.
+// Run calls the scheduler's Tick, sends levels as a collector, and closes connections that have been idle for too long or
+// whose target gets no new requests, all at regular intervals, until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	expire := time.NewTicker(expireInterval.Duration())
 	defer expire.Stop()
 	tick := time.NewTicker(tickInterval.Duration())
 	defer tick.Stop()
+	levels := time.NewTicker(levelsInterval.Duration())
+	defer levels.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 			g.scheduler.Tick(g.clock.Now())
+		case <-levels.C:
+			g.sendLevels()
 		case <-expire.C:
 			if view := g.tracker.View(); view != nil {
 				g.pool.Expire(view.MaySend)
@@ -300,19 +308,23 @@
 	if previous := g.knownEntries.Swap(int64(counts.Known)); previous != int64(counts.Known) {
 		g.log.Info("entriesCounted", "known", counts.Known, "heard", counts.Live, "before", previous)
 	}
+	g.roundIntervals.Store(int64(counts.RoundIntervals))
 	g.scheduler.SetEntries(counts.Known, counts.Live, counts.ReportTimeout)
 	g.retryBudget.SetEntries(counts.Known)
 	g.meter.SetFraction(now, float64(counts.Reporting)/float64(counts.Known))
 }
 
-// HandlePacket handles changes of the store's records that another entry read, another entry's reservation request, or its
-// reply to one.
+// HandlePacket handles changes of the store's records that another entry read, levels that a collector sent, another
+// entry's reservation request, or its reply to one.
 func (g *Gateway) HandlePacket(now lovageshift.Millis, from netip.Addr, packet *wire.EntryPacket) {
-	if changes := packet.GetChanges(); changes != nil {
-		g.tracker.Receive(storeChanges(changes))
-		return
+	switch body := packet.Body.(type) {
+	case *wire.EntryPacket_Changes:
+		g.tracker.Receive(storeChanges(body.Changes))
+	case *wire.EntryPacket_Levels:
+		g.applyLevels(now, from, body.Levels)
+	default:
+		g.reservations.HandlePacket(now, from, packet)
 	}
-	g.reservations.HandlePacket(now, from, packet)
 }
 
 func storeChanges(message *wire.StoreChanges) discovery.Changes {
@@ -339,8 +351,8 @@
 
 // SetPeers sets how the other entries are reached. It must be called before the first request is served and before the
 // tracker runs.
-func (g *Gateway) SetPeers(peers reservation.Peers) {
-	g.self = peers.Self()
+func (g *Gateway) SetPeers(peers Peers) {
+	g.self, g.peers = peers.Self(), peers
 	g.reservations.SetPeers(peers)
 	isReader := func() bool { return g.reservations.AmongFirst(readTask, readerCount) }
 	g.tracker.SetReader(isReader, func(changes discovery.Changes) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"lovageshift"
 	"lovageshift/discovery"
+	"lovageshift/exchange"
 	"lovageshift/gateway"
 	"lovageshift/metrics"
 	"lovageshift/placement"
@@ -38,6 +39,10 @@
 
 func (noPeers) Processor(netip.Addr) lovageshift.Millicores { return 0 }
 
+func (noPeers) Incarnation() uint64 { return 1 }
+
+func (noPeers) Reported(netip.Addr) (uint64, *exchange.AccountUsage) { return 0, nil }
+
 // setup is one entry with a stand-in for the store and stand-in targets, the replicas. They are connected over
 // loopback.
 type setup struct {
@@ -112,6 +117,7 @@
 		"routes": []map[string]any{
 			{"name": "chat", "host": "h", "prefix": "/chat/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500, "service": "pool", "attempts": 1},
 			{"name": "resume", "host": "h", "prefix": "/resume/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500, "service": "pool", "attempts": 2, "resume_streams": true},
+			{"name": "paced", "host": "h", "prefix": "/paced/", "kind": "streaming", "timeout_ms": 20000, "target_latency_ms": 500, "gap_target_ms": 100, "service": "pool", "attempts": 1},
 			{"name": "book", "host": "h", "prefix": "/book/", "kind": "unsafe", "timeout_ms": 1000, "target_latency_ms": 500, "service": "pool", "attempts": 1},
 			{"name": "read", "host": "h", "prefix": "/read/", "kind": "safe", "timeout_ms": 1000, "target_latency_ms": 500, "service": "pool", "attempts": 2},
 			{"name": "quick", "host": "h", "prefix": "/quick/", "kind": "safe", "timeout_ms": 1000, "target_latency_ms": 10, "service": "pool", "attempts": 2},
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -122,7 +122,7 @@
 		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonTargetOutOfService, "the target turned it away")}
 	}
 	r.runs++
-	return r.forward(ctx, slot, response)
+	return r.forward(ctx, cancel, slot, response)
 }
 
 // watchForResponse starts a timer for the response header of the slot's target: lateFactor times the latency objective,
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -6,8 +6,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -18,6 +20,9 @@
 type rawTarget struct {
 	response string // sent after the status line and the headers that name the request
 	reset    bool   // ends the connection with a reset
+	// pieces are sent after the response, each after a pause.
+	pieces []string
+	pause  time.Duration
 }
 
 func (t *rawTarget) ServeHTTP(w http.ResponseWriter, request *http.Request) {
@@ -29,6 +34,12 @@
 	defer func() { _ = c.Close() }()
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nRaw: 1\r\n%s",
 		standin.HeaderRequestID, request.Header.Get(standin.HeaderRequestID), standin.HeaderSignature, t.response)
+	for _, piece := range t.pieces {
+		time.Sleep(t.pause)
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+	}
 	if !t.reset {
 		return
 	}
@@ -129,3 +140,31 @@
 		})
 	}
 }
+
+// A stalled stream that still sends bytes now and then holds a slot until the caller's deadline unless its progress is
+// measured in complete events.
+func TestStalledStreams(t *testing.T) {
+	slowly := func(pieces []string, pause time.Duration) *rawTarget {
+		return &rawTarget{response: "Content-Type: text/event-stream\r\n\r\n", pieces: pieces, pause: pause}
+	}
+	pieces := func(count int, piece string) []string { return slices.Repeat([]string{piece}, count) }
+	Convey("A slow but sound stream is not cut", t, func() {
+		s, stop := newRawSetup(slowly(pieces(4, "data: a\n\n"), 1500*time.Millisecond))
+		defer stop()
+		got := s.send("r1", "POST", "/paced/x", "")
+		So(got.complete, ShouldBeTrue)
+		So(strings.Count(got.body, "data: a"), ShouldEqual, 4)
+	})
+	stalls := map[string]string{"bytes of an incomplete event": "d", "lines of an incomplete event": "data: a\n", "comments": ": still here\n\n"}
+	for name, piece := range stalls {
+		Convey("A stream that sends only this after its first event is ended: "+name, t, func() {
+			s, stop := newRawSetup(slowly(append([]string{"data: a\n\n"}, pieces(60, piece)...), 200*time.Millisecond))
+			defer stop()
+			started := time.Now()
+			got := s.send("r1", "POST", "/paced/x", "")
+			So(got.status, ShouldEqual, 200)
+			So(got.complete, ShouldBeFalse)
+			So(time.Since(started), ShouldBeBetween, 2*time.Second, 4*time.Second)
+		})
+	}
+}
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -24,9 +24,15 @@
 	Slack float64
 }
 
-// Each entry's bucket for declared tokens exceeds the account's rate and burst by this part of the tolerance. The rest of
-// the tolerance is for the tokens that several entries let through before they receive each other's usage.
-const localToleranceShare = 0.5
+const (
+	// Each entry's bucket for declared tokens exceeds the account's rate and burst by this part of the tolerance. The rest
+	// of the tolerance is for the tokens that several entries let through before they receive each other's usage.
+	localToleranceShare = 0.5
+	// Levels received from a collector replace what other entries report themselves for this long.
+	collectedTTL lovageshift.Millis = 400
+	// Below this share of its burst, an account may soon be used up by requests that other entries have not reported.
+	contendedShare = 0.9
+)
 
 // Meter charges client accounts for the tokens of their requests. Each account has two buckets, and the Cost of a request is
 // charged to both before it starts. When it ends, the tokens that it did not use are credited to the first bucket only, which
@@ -50,6 +56,8 @@
 	refilledAt lovageshift.Millis
 	used       tokenBucket // charged with the cost of each request, credited with the tokens that it did not use
 	declared   tokenBucket // charged with the cost of each request, credited with it only if the request did not run
+	// collectedAt is when ApplyCollected was last called for the account, 0 if it never was.
+	collectedAt lovageshift.Millis
 	// adopted is true once AdoptLevels has taken over another entry's levels.
 	adopted bool
 }
@@ -201,11 +209,46 @@
 func (m *Meter) ApplyRemoteUsage(now lovageshift.Millis, account AccountHash, used, declared lovageshift.Tokens) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if state := m.byHash[account]; state != nil {
+	state := m.byHash[account]
+	if state == nil || (state.collectedAt > 0 && now-state.collectedAt < collectedTTL) {
+		return
+	}
+	m.refill(now, state)
+	state.used.level -= float64(used)
+	state.declared.level -= float64(declared)
+}
+
+// ApplyCollected replaces the levels of an account's buckets by those of a collector, an entry that gets the usage of all
+// entries sooner than they get each other's. The parameter seen is this entry's own usage that the levels include; what it
+// has taken since is subtracted.
+func (m *Meter) ApplyCollected(now lovageshift.Millis, collected, seen Usage) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state := m.byHash[collected.Account]
+	if state == nil {
+		return
+	}
+	m.refill(now, state)
+	state.collectedAt, state.adopted = now, true
+	state.used.level = float64(collected.UsedLeft) - (state.used.taken - float64(seen.Used))
+	state.declared.level = float64(collected.DeclaredLeft) - (state.declared.taken - float64(seen.Declared))
+	m.refill(now, state)
+}
+
+// Contended returns this entry's usage of the accounts whose buckets are both or one of them less than contendedShare
+// full, in no order.
+func (m *Meter) Contended(now lovageshift.Millis) []Usage {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var usages []Usage
+	for hash, state := range m.byHash {
 		m.refill(now, state)
-		state.used.level -= float64(used)
-		state.declared.level -= float64(declared)
+		full := contendedShare * state.account.Burst * m.fraction
+		if state.account.Rate > 0 && min(state.used.level, state.declared.level) < full {
+			usages = append(usages, state.usage(hash))
+		}
 	}
+	return usages
 }
 
 // AdoptLevels replaces the levels of an account's buckets, which are empty when this entry begins to meter the account, by
@@ -232,17 +275,21 @@
 	usages := make([]Usage, 0, len(m.accounts))
 	for hash, state := range m.byHash {
 		m.refill(now, state)
-		usages = append(usages, Usage{
-			Account:      hash,
-			Used:         lovageshift.Tokens(state.used.taken),
-			Declared:     lovageshift.Tokens(state.declared.taken),
-			UsedLeft:     lovageshift.Tokens(state.used.level),
-			DeclaredLeft: lovageshift.Tokens(state.declared.level),
-		})
+		usages = append(usages, state.usage(hash))
 	}
 	return usages
 }
 
+func (a *accountState) usage(hash AccountHash) Usage {
+	return Usage{
+		Account:      hash,
+		Used:         lovageshift.Tokens(a.used.taken),
+		Declared:     lovageshift.Tokens(a.declared.taken),
+		UsedLeft:     lovageshift.Tokens(a.used.level),
+		DeclaredLeft: lovageshift.Tokens(a.declared.level),
+	}
+}
+
 // refill adds the tokens due since the last refill to both buckets, up to their bursts.
 func (m *Meter) refill(now lovageshift.Millis, state *accountState) {
 	elapsed := max((now - state.refilledAt).Seconds(), 0)
--- a/reservation/coordinator.go
+++ b/reservation/coordinator.go
@@ -94,6 +94,12 @@
 // AmongFirst reports whether this entry is one of the first count entries responsible for the task, by the order of rank
 // with the task as the key.
 func (c *Client) AmongFirst(task string, count int) bool {
+	return slices.Contains(c.First(task, count), c.peers.Self())
+}
+
+// First returns the first count live entries responsible for the task, by the order of rank with the task as the key. The
+// result must not be changed.
+func (c *Client) First(task string, count int) []netip.Addr {
 	ranked := c.rank(task)
-	return slices.Contains(ranked[:min(count, len(ranked))], c.peers.Self())
+	return ranked[:min(count, len(ranked))]
 }
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -18,6 +18,8 @@
 	Raw []byte
 	// ID is the value of the event's id field, "" if it has none.
 	ID string
+	// HasData is set if the event has a data field. Without one it is a comment, which may only keep the connection open.
+	HasData bool
 }
 
 // EventReader reads the server-sent events in the body of one response.
@@ -35,7 +37,7 @@
 // that size.
 func (r *EventReader) Next() (Event, error) {
 	r.event = r.event[:0]
-	id := ""
+	var event Event
 	for {
 		line, err := r.readLine()
 		if err != nil {
@@ -47,11 +49,13 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			return Event{Raw: r.event, ID: id}, nil
+			event.Raw = r.event
+			return event, nil
 		}
 		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+			event.ID = string(bytes.TrimSpace(value))
 		}
+		event.HasData = event.HasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
