--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"lovageshift"
 	"lovageshift/exchange"
@@ -78,10 +79,11 @@
 }
 
 // applyLevels applies the levels that a collector sent. It ignores those of an entry that is not a collector by this
-// entry's view, those of the second one while the first one sends them, and those for an earlier incarnation.
+// entry's view, those of the second one while the first one sends them, and those for an earlier incarnation. A collector
+// applies none: it knows the use from the entries themselves, and two that took over each other's levels would know none.
 func (g *Gateway) applyLevels(now lovageshift.Millis, from netip.Addr, message *wire.AccountLevels) {
 	collectors := g.reservations.First(collectTask, collectorCount)
-	if len(collectors) == 0 || message.ReceiverIncarnation != uint32(g.peers.Incarnation()) {
+	if slices.Contains(collectors, g.self) || message.ReceiverIncarnation != uint32(g.peers.Incarnation()) {
 		return
 	}
 	switch {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -57,7 +57,9 @@
 	stop    func()
 }
 
-func newSetup(replicas ...*standin.Replica) *setup {
+func newSetup(replicas ...*standin.Replica) *setup { return newSetupWithPeers(noPeers{}, replicas...) }
+
+func newSetupWithPeers(peers gateway.Peers, replicas ...*standin.Replica) *setup {
 	s := &setup{store: standin.NewStore(), replicas: replicas, rate: 1e6}
 	var closers []func()
 	for _, replica := range replicas {
@@ -83,7 +85,7 @@
 		Placement: placement.ColdBounds{ColdOvershoot: 1.5, ColdSlack: 5},
 		Quota:     quota.Tolerance{},
 	})
-	s.gateway.SetPeers(noPeers{})
+	s.gateway.SetPeers(peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks errgroup.Group
 	tasks.Go(func() error { return tracker.Run(ctx) })
