--- a/discovery/changes_test.go
+++ b/discovery/changes_test.go
@@ -301,3 +301,20 @@
 		}
 	})
 }
+
+// A wrong datagram may claim a revision that the store does not have. The entry must find the way back by itself.
+func TestChangesBeyondTheStoresRevision(t *testing.T) {
+	r := newReadersAndFollowers(3, 0)
+	defer r.stop()
+	time.Sleep(200 * time.Millisecond)
+	r.trackers[2].Receive(discovery.Changes{From: 1, To: 1 << 40})
+	time.Sleep(200 * time.Millisecond)
+	r.store.write(catalogItem(5))
+	for range 500 { // 5 s, the time within which a withdrawn key must no longer work
+		if r.trackers[2].View().Catalog.Version == 5 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the entry still has the old catalog after 5 s")
+}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"lovageshift"
 	"lovageshift/catalog"
@@ -18,19 +17,6 @@
 const (
 	// How long a watch of the store waits for a change.
 	watchMillis lovageshift.Millis = 1200
-	// An entry that is not a reader (see SetReader) asks the store itself once its local copy's revision was last confirmed
-	// this long ago, or another entry was first seen with a newer store revision this long ago. It waits up to
-	// spreadMillis more, at random, as the answer of one entry confirms the revision for the others too. Such a watch waits
-	// only probeWatchMillis, as its answer confirms the revision or brings the changes.
-	maxUnconfirmedMillis lovageshift.Millis = 2500
-	maxBehindMillis      lovageshift.Millis = 800
-	spreadMillis         lovageshift.Millis = 400
-	probeWatchMillis     lovageshift.Millis = 200
-	// How often an entry that is not a reader checks for these two conditions.
-	followCheckMillis lovageshift.Millis = 100
-	// How many changes received from readers may wait to be applied. Further ones are dropped; the entry then finds itself
-	// behind and asks the store.
-	maxPendingChanges = 256
 	// The pause after a watch that returned changes, so that the next watch fetches all changes of that time in one call.
 	coalesceMillis lovageshift.Millis = 500
 	// A failed call to the store is retried after a random time between these two.
@@ -120,23 +106,6 @@
 	}
 }
 
-// SetReader sets the function that reports whether this entry is now a reader, and the function to which the tracker then
-// passes the changes of the records. Readers watch the store and send the changes to the other entries, which ask the
-// store only if readers do not keep them up to date. Without SetReader, the entry counts as a reader. SetReader must be
-// called before Run.
-func (t *Tracker) SetReader(isReader func() bool, publish func(Changes)) {
-	t.isReader, t.publishChanges = isReader, publish
-}
-
-// Receive takes over changes that a reader sent.
-func (t *Tracker) Receive(changes Changes) {
-	select {
-	case t.received <- changes:
-	default:
-		t.metrics.Add(metrics.StoreCalls, "changesDropped", 1)
-	}
-}
-
 // RevisionAge returns the store revision of the local copy, 0 before the first read, and its age: the milliseconds
 // since the last time at which the store is known to have had no newer revision. The age includes time for which the VM
 // was suspended. It is neverConfirmed if there was no confirmation.
@@ -207,94 +176,6 @@
 	return nil
 }
 
-// mustAsk reports whether an entry that is not a reader has to ask the store itself: while the store is unreachable for
-// it, if a reader sent that there are changes to read, or if one of the conditions at maxUnconfirmedMillis holds.
-func (t *Tracker) mustAsk() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	age := t.clock.SinceBoot() - t.confirmedAt
-	behind := t.behindSince > 0 && t.clock.Now()-t.behindSince > maxBehindMillis+t.spread
-	if !behind && !t.fetch && !t.storeUnreachable && age < maxUnconfirmedMillis+t.spread {
-		return false
-	}
-	t.log.Info("storeAsked", "behind", behind, "changesToRead", t.fetch, "viewAgeMillis", age)
-	t.behindSince, t.fetch = 0, false
-	t.spread = lovageshift.Millis(rand.Int64N(int64(spreadMillis)))
-	return true
-}
-
-// awaitChanges waits for the next changes from a reader, or for followCheckMillis, and applies them. It returns the
-// revision of the local copy.
-func (t *Tracker) awaitChanges(ctx context.Context, revision int64) int64 {
-	timer := time.NewTimer(followCheckMillis.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case changes := <-t.received:
-		revision = t.applyChanges(revision, changes)
-	case <-timer.C:
-	}
-	if t.records.Expire(t.clock.Now()) {
-		t.publish()
-	}
-	return revision
-}
-
-// discardReceived discards the changes that have been received. A reader does not apply those of another reader, as it
-// would then not read and pass them on itself, and a follower that lost them from the other reader would lack them.
-func (t *Tracker) discardReceived() {
-	for {
-		select {
-		case <-t.received:
-		default:
-			return
-		}
-	}
-}
-
-// applyChanges applies changes from a reader if the local copy has the revision that they start from or a later one. It
-// returns the revision of the local copy. The time of the last confirmation stays: if the store had no newer revision than
-// the old one then, it had none newer than the new one.
-func (t *Tracker) applyChanges(revision int64, changes Changes) int64 {
-	switch {
-	case changes.To <= revision:
-		return revision
-	case changes.ReadStore:
-		t.requestFetch()
-		return revision
-	case changes.From > revision: // changes before these were lost
-		t.noteBehind()
-		return revision
-	}
-	now := t.clock.Now()
-	if changes.StoreBack > 0 {
-		t.storeBackAt = max(t.storeBackAt, now-changes.StoreBack)
-	}
-	for _, item := range changes.Items {
-		if maySend(item) {
-			t.records.Apply(now, t.storeBackAt, item)
-		}
-	}
-	t.publish()
-	t.metrics.Add(metrics.StoreCalls, "savedByReader", 1)
-	t.setRevision(changes.To, 0)
-	return changes.To
-}
-
-func (t *Tracker) requestFetch() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.fetch = true
-}
-
-func (t *Tracker) noteBehind() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.behindSince == 0 {
-		t.behindSince = t.clock.Now()
-	}
-}
-
 // finishCall handles the outcome of a call to the store and, after a failed one, waits before the retry. The parameter
 // wasWatch tells whether the call was a watch. The result reports whether the next call may be a watch for the changes
 // since the last revision; otherwise all records have to be read.
@@ -414,6 +295,10 @@
 		return revision, err
 	}
 	t.recordSuccess()
+	if page.Revision > 0 && page.Revision < revision {
+		// Another entry sent changes up to a revision that the store does not have.
+		return revision, platform.ErrHistoryGone
+	}
 	next := max(page.Revision, revision)
 	if len(page.Items) == 0 {
 		t.setRevision(next, sentAt)
@@ -432,21 +317,6 @@
 	return next, nil
 }
 
-// passOn passes the changes of a watch to the function set by SetReader, to be sent to the other entries.
-func (t *Tracker) passOn(from, to int64, items []platform.Item) {
-	if t.publishChanges == nil {
-		return
-	}
-	var storeBack lovageshift.Millis
-	if t.storeBackAt > 0 {
-		storeBack = max(t.clock.Now()-t.storeBackAt, 1)
-	}
-	for _, part := range splitChanges(from, to, items) {
-		part.StoreBack = storeBack
-		t.publishChanges(part)
-	}
-}
-
 // nextWatchWait returns how long the next watch waits for a change. While there are lapsed targets it is a quarter of
 // watchMillis, as Expire, which removes them, runs only after each watch.
 func (t *Tracker) nextWatchWait() lovageshift.Millis {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -180,82 +180,6 @@
 	}
 }
 
-// OwnLoad is the number of this entry's requests at a target.
-type OwnLoad struct {
-	Running int
-	// Granted is how many of them have a slot that the entry at Granter granted: of the other entries the one that granted
-	// most. Both are zero if this entry assigned all of them itself.
-	Granter netip.Addr
-	Granted int
-}
-
-// OwnRunning returns this entry's requests at each target that has any, as its state updates report them.
-func (s *Scheduler) OwnRunning() map[TargetHash]OwnLoad {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	running := map[TargetHash]OwnLoad{}
-	for hash, t := range s.byHash {
-		if t.own == 0 {
-			continue
-		}
-		load := OwnLoad{Running: t.own}
-		for granter, count := range t.ownByGranter {
-			if count > load.Granted {
-				load.Granter, load.Granted = granter, count
-			}
-		}
-		running[hash] = load
-	}
-	return running
-}
-
-// ColdRemaining returns how much longer each target stays cold according to this entry's view, in milliseconds; targets
-// that are not cold are left out. It does not include maybeColdUntil, as entries would then keep repeating each other's
-// reports after the target had stopped being cold.
-func (s *Scheduler) ColdRemaining(now lovageshift.Millis) map[TargetHash]lovageshift.Millis {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	cold := map[TargetHash]lovageshift.Millis{}
-	for hash, t := range s.byHash {
-		if t.service.ColdPerSecond > 0 && t.ColdUntil > now {
-			cold[hash] = t.ColdUntil - now
-		}
-	}
-	return cold
-}
-
-// MergeCold records the result of another entry's ColdRemaining, as that entry's view may be newer than this one's.
-func (s *Scheduler) MergeCold(now lovageshift.Millis, cold map[TargetHash]lovageshift.Millis) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for hash, left := range cold {
-		if t := s.byHash[hash]; t != nil {
-			t.maybeColdUntil = max(t.maybeColdUntil, now+left)
-		}
-	}
-}
-
-// UpdatePeer records how many requests another entry has at each target, as its state update reports. Reservations of
-// that entry are dropped if for longer than unconfirmedMillis it has reported fewer requests at their target than it
-// has reserved there.
-func (s *Scheduler) UpdatePeer(now lovageshift.Millis, from netip.Addr, running map[TargetHash]PeerRunning) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.peerSeenAt[from] = now
-	for hash, t := range s.byHash {
-		reported := running[hash]
-		load := t.peers[from]
-		if load == nil && reported.Running == 0 {
-			continue
-		}
-		t.updatePeer(now, from, func(l *peerLoad) { l.reported = reported })
-		if load != nil && load.reserved > load.confirmed() && now-load.confirmedAt > unconfirmedMillis {
-			s.dropReservations(now, t, from, load.reserved-load.confirmed())
-		}
-	}
-	s.assignAll(now, noWaiter)
-}
-
 // Tick does what depends on the time: it assigns free slots, refuses requests that are expected to get none by their
 // queue deadline and forgets entries that have been unresponsive for peerTimeoutMillis. It must be called regularly.
 func (s *Scheduler) Tick(now lovageshift.Millis) {
@@ -273,20 +197,6 @@
 	s.assignAll(now, everyWaiter)
 }
 
-func (s *Scheduler) forgetPeer(now lovageshift.Millis, from netip.Addr) {
-	delete(s.peerSeenAt, from)
-	for key := range s.reservations {
-		if key.from == from {
-			s.dropReservation(key)
-		}
-	}
-	for _, t := range s.byHash {
-		if t.peers[from] != nil {
-			t.updatePeer(now, from, func(l *peerLoad) { *l = peerLoad{} })
-		}
-	}
-}
-
 // PickGroup returns the group of the service in which to request a slot, or "" if the service has no targets. The
 // probability of a group is nearly proportional to its free slots if point is uniformly random in [0, 1).
 func (s *Scheduler) PickGroup(service catalog.ServiceID, point float64) GroupID {
--- a/placement/target.go
+++ b/placement/target.go
@@ -83,43 +83,6 @@
 	grantTimes []lovageshift.Millis
 }
 
-// peerLoad counts the requests of one other entry at a target.
-type peerLoad struct {
-	reserved int // slots that this entry granted to the other one
-	reported PeerRunning
-	// confirmedAt is the last time at which reserved was found to be no more than was reported.
-	confirmedAt lovageshift.Millis
-}
-
-// PeerRunning is the number of requests that another entry has at a target, as its last state update reports.
-type PeerRunning struct {
-	Running int
-	// GrantedHere is how many of them have a slot that this entry granted, UnknownGrants if the other entry does not
-	// report that.
-	GrantedHere int
-}
-
-// UnknownGrants stands for an unknown PeerRunning.GrantedHere.
-const UnknownGrants = -1
-
-// count returns the number of the other entry's requests at the target. This entry knows of the slots that it granted
-// itself sooner than the other entry reports them: many requests end before the next state update. So only the others are
-// counted as reported. If the other entry does not tell them apart, the count is the larger of reserved and reported.
-func (l *peerLoad) count() int {
-	if l.reported.GrantedHere == UnknownGrants {
-		return max(l.reserved, l.reported.Running)
-	}
-	return l.reserved + max(l.reported.Running-l.reported.GrantedHere, 0)
-}
-
-// confirmed returns how many slots granted by this entry the other entry reports.
-func (l *peerLoad) confirmed() int {
-	if l.reported.GrantedHere == UnknownGrants {
-		return l.reported.Running
-	}
-	return l.reported.GrantedHere
-}
-
 func newTargetState(registered *catalog.Target, service *catalog.Service, speeds *serviceSpeeds) *targetState {
 	return &targetState{Target: registered, service: service, speeds: speeds, peers: map[netip.Addr]*peerLoad{}, ownByGranter: map[netip.Addr]int{}}
 }
@@ -147,31 +110,6 @@
 
 func (t *targetState) running() int { return t.own + t.peerRunning }
 
-// updatePeer applies the update to another entry's load at the target and adjusts peerRunning.
-func (t *targetState) updatePeer(now lovageshift.Millis, from netip.Addr, update func(*peerLoad)) {
-	l := t.peers[from]
-	if l == nil {
-		l = &peerLoad{confirmedAt: now}
-		t.peers[from] = l
-	}
-	t.peerRunning -= l.count()
-	update(l)
-	t.peerRunning += l.count()
-	if l.reserved <= l.confirmed() {
-		l.confirmedAt = now
-	}
-	if l.count() == 0 {
-		delete(t.peers, from)
-	}
-}
-
-func (t *targetState) releaseGranted(granter netip.Addr) {
-	t.ownByGranter[granter]--
-	if t.ownByGranter[granter] == 0 {
-		delete(t.ownByGranter, granter)
-	}
-}
-
 // failureShare returns the current value of failureAverage, which decays from failureUpdated on: it halves in each
 // failureHalfLifeMillis, linearly within it, and is 0 after 8 of them.
 func (t *targetState) failureShare(now lovageshift.Millis) float64 {
