--- a/reservation/coordinator.go
+++ b/reservation/coordinator.go
@@ -25,8 +25,7 @@
 type Peers interface {
 	// Self returns this entry's address.
 	Self() netip.Addr
-	// Live returns the addresses of the other entries from which a state update was received within the exchange's
-	// timeout.
+	// Live returns the addresses of the other entries that are live, as exchange.Node.Live does.
 	Live() []netip.Addr
 	// Processor returns the processor capacity of the VM of this or another entry, 0 if it is not known.
 	Processor(address netip.Addr) lovageshift.Millicores
