--- a/test.sh
+++ b/test.sh
@@ -13,11 +13,15 @@
 go tool revive -config revive.toml -set_exit_status $(go list ./... | grep -v /wire | sed 's#^lovageshift#.#')
 go vet ./...
 
+# Tests that KNOWN-RED.txt lists ("test PACKAGE NAME") run last and do not decide the result.
+red=$(awk '$1 == "test" {print $3}' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+skip=${red:+^($red)$}
+
 # Only packages with rapid property tests accept rapid's seed flag.
 properties=$(go list -f '{{if .XTestImports}}{{.ImportPath}} {{join .XTestImports " "}}{{end}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
 others=$(go list ./... | grep -vxF "$properties" | grep -v '/trial$')
-go test -race -count=1 -timeout 5m $others
-go test -race -count=1 -timeout 5m $properties -args -rapid.seed=1
+go test -race -count=1 -timeout 5m -skip "$skip" $others
+go test -race -count=1 -timeout 5m -skip "$skip" $properties -args -rapid.seed=1
 # The measurements in trial run the same code as the tests of fleet and take too long under the race detector, and so do
 # simulations of many entries.
 go test -count=1 -timeout 5m ./trial
@@ -26,3 +30,12 @@
 # Fuzz the parsers of requests and of configurations for a fixed number of inputs.
 go test ./entry -run '^$' -fuzz FuzzParseCompletion -fuzztime 3000x
 go test ./folder -run '^$' -fuzz FuzzMerge -fuzztime 3000x
+
+# The known red tests: their results are printed only.
+awk '$1 == "test" {print $2, $3}' KNOWN-RED.txt 2>/dev/null | while read -r package name; do
+  if go test -race -count=1 -timeout 5m "$package" -run "^$name\$" >/dev/null; then
+    echo "known red: $name ($package) passed this time"
+  else
+    echo "known red: $name ($package) failed"
+  fi
+done
