--- a/exchange/node.go
+++ b/exchange/node.go
@@ -288,21 +288,32 @@
 	roundTicks := roundIntervals(len(n.members.others))
 	n.changes.add(update, roundTicks)
 	update.Refused = n.changes.allRefused()
-	complete, err := encodeUpdate(update)
+	var forComplete, forChanges []*member
+	for _, other := range receivers {
+		if n.needsCompleteList(now, other, roundTicks) {
+			forComplete = append(forComplete, other)
+		} else {
+			forChanges = append(forChanges, other)
+		}
+	}
+	updates, err := appendUpdates(nil, update, forComplete)
 	if err != nil {
 		return nil, err
 	}
 	update.Accounts, update.ChangedAccountsOnly = n.changes.changed(update.Accounts, roundTicks), true
-	changes, err := encodeUpdate(update)
+	return appendUpdates(updates, update, forChanges)
+}
+
+// appendUpdates encodes the state update, if there are receivers, and appends a datagram for each of them.
+func appendUpdates(updates []addressedUpdate, update *wire.EntryNews, receivers []*member) ([]addressedUpdate, error) {
+	if len(receivers) == 0 {
+		return updates, nil
+	}
+	content, err := proto.Marshal(&wire.EntryPacket{Body: &wire.EntryPacket_News{News: update}})
 	if err != nil {
 		return nil, err
 	}
-	var updates []addressedUpdate
 	for _, other := range receivers {
-		content := changes
-		if n.needsCompleteList(now, other, roundTicks) {
-			content = complete
-		}
 		updates = append(updates, addressedUpdate{other.address, content, other.sentAt})
 	}
 	return updates, nil
@@ -316,10 +327,6 @@
 	return !other.acceptsChanges || isNew || round%roundsPerCompleteList == 0
 }
 
-func encodeUpdate(update *wire.EntryNews) ([]byte, error) {
-	return proto.Marshal(&wire.EntryPacket{Body: &wire.EntryPacket_News{News: update}})
-}
-
 // encodeEcho encodes the time to echo to one receiver. It is encoded apart from the rest of the datagram, which is the same
 // for all receivers. The two parts can be concatenated, as concatenated protobuf messages decode as one.
 func encodeEcho(sentAt uint64) []byte {
--- a/exchange/scale_test.go
+++ b/exchange/scale_test.go
@@ -140,8 +140,8 @@
 		return
 	}
 	for _, use := range update.Accounts {
-		last, found := previous.ByHash[use.Account]
-		if !found && !previous.Complete {
+		last, known := previous.Of(use.Account)
+		if !known {
 			continue
 		}
 		s.reported[from] += use.Used - last.GetUsed()
@@ -382,3 +382,23 @@
 	defer s.mutex.Unlock()
 	return s.taken
 }
+
+// An entry that others know to be live, but whose own state updates do not arrive, must not count as reporting: its use of
+// accounts is not known here.
+func TestLiveEntriesThatDoNotReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 30
+		s := newSimulated(count, 0)
+		defer s.stop()
+		s.until(s.sample(), count-1, joinWithin)
+		first, other := s.entries[0], s.entries[1]
+		s.fabric.setCut(func(from, to netip.Addr) bool { return from == other.address && to == first.address })
+		time.Sleep(2 * first.state.lastCounts().ReportTimeout.Duration())
+		if counts := first.state.lastCounts(); counts.Live != count || counts.Reporting != count-1 {
+			t.Errorf("with one way of %d entries cut, the receiver counts %+v", count, counts)
+		}
+		if counts := other.state.lastCounts(); counts.Reporting != count {
+			t.Errorf("the entry whose updates do not arrive at one other counts %+v", counts)
+		}
+	})
+}
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -17,6 +17,13 @@
 	Complete bool
 }
 
+// Of returns the use of an account, nil if the entry has not used it. The second result is false if the reports do not tell
+// whether it has.
+func (u *AccountUsage) Of(account uint32) (*wire.AccountUse, bool) {
+	use, found := u.ByHash[account]
+	return use, found || u.Complete
+}
+
 // merge returns the usage after one more state update.
 func (u *AccountUsage) merge(update *wire.EntryNews) *AccountUsage {
 	merged := &AccountUsage{Complete: !update.ChangedAccountsOnly}
--- a/gateway/collector.go
+++ b/gateway/collector.go
@@ -45,7 +45,7 @@
 
 // sendLevels sends the levels of contended accounts to the other live entries if this one is a collector.
 func (g *Gateway) sendLevels() {
-	if g.roundIntervals.Load() < minRoundIntervals || !g.reservations.AmongFirst(collectTask, collectorCount) {
+	if !slices.Contains(g.Collectors(), g.self) {
 		return
 	}
 	contended := g.meter.Contended(g.clock.Now())
@@ -61,13 +61,13 @@
 	}
 }
 
-// levelsMessage returns the levels for an entry that has reported the use. Accounts that it has not reported are left out,
-// unless it has reported that it has not used them.
+// levelsMessage returns the levels for an entry that has reported the use. Accounts of which it is not known whether the
+// entry has used them are left out.
 func levelsMessage(contended []quota.Usage, incarnation uint64, reported *exchange.AccountUsage) *wire.AccountLevels {
 	message := &wire.AccountLevels{ReceiverIncarnation: uint32(incarnation)}
 	for _, usage := range contended {
-		seen, found := reported.ByHash[uint32(usage.Account)]
-		if !found && !reported.Complete {
+		seen, known := reported.Of(uint32(usage.Account))
+		if !known {
 			continue
 		}
 		message.Levels = append(message.Levels, &wire.AccountLevel{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,8 +252,8 @@
 		if previous == nil {
 			continue // the usage since the sender's last update is not known
 		}
-		last, found := previous.ByHash[use.Account]
-		if !found && !previous.Complete {
+		last, known := previous.Of(use.Account)
+		if !known {
 			continue
 		}
 		g.meter.ApplyRemoteUsage(now, account,
--- a/placement/target.go
+++ b/placement/target.go
@@ -146,15 +146,18 @@
 		t.observeToken(now, float64(result.TokenMicros)/1000)
 	}
 	if result.FirstEvent > 0 {
-		latency := float64(result.FirstEvent) / promptUnits(promptTokens)
-		if t.promptLatency == 0 {
-			t.promptLatency = latency
-			return
-		}
-		t.promptLatency += ewmaWeight * (latency - t.promptLatency)
+		t.promptLatency = movingAverage(t.promptLatency, float64(result.FirstEvent)/promptUnits(promptTokens), ewmaWeight)
 	}
 }
 
+// movingAverage returns an exponential moving average, 0 before its first value, after one more value.
+func movingAverage(average, value, weight float64) float64 {
+	if average == 0 {
+		return value
+	}
+	return average + weight*(value-average)
+}
+
 // assumeCold treats the target as cold for its service's ColdMillis from the given time on, as the target may have
 // crashed and restarted without its new registration being known here yet.
 func (t *targetState) assumeCold(from lovageshift.Millis) {
@@ -183,19 +186,14 @@
 }
 
 func (t *targetState) observeToken(now lovageshift.Millis, millis float64) {
-	if t.tokenMillis == 0 || now-t.tokenMeasuredAt > tokenTTL {
-		t.tokenMillis = millis
+	if now-t.tokenMeasuredAt > tokenTTL {
+		t.tokenMillis = 0
 	}
-	t.tokenMillis += tokenWeight * (millis - t.tokenMillis)
+	t.tokenMillis = movingAverage(t.tokenMillis, millis, tokenWeight)
 	t.tokenMeasuredAt = now
-	if t.promptLatency == 0 {
-		return
-	}
-	ratio := t.tokenMillis / t.promptLatency
-	if t.speeds.tokenPerPrompt == 0 {
-		t.speeds.tokenPerPrompt = ratio
+	if t.promptLatency > 0 {
+		t.speeds.tokenPerPrompt = movingAverage(t.speeds.tokenPerPrompt, t.tokenMillis/t.promptLatency, ratioWeight)
 	}
-	t.speeds.tokenPerPrompt += ratioWeight * (ratio - t.speeds.tokenPerPrompt)
 }
 
 // predictToken returns the expected milliseconds between two output tokens: as measured lately or, if no stream was long
--- a/upstream/copies_test.go
+++ b/upstream/copies_test.go
@@ -11,65 +11,37 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-	"golang.org/x/sync/errgroup"
 
 	"lovageshift"
 	"lovageshift/catalog"
-	"lovageshift/metrics"
 	"lovageshift/standin"
 	"lovageshift/upstream"
 )
 
-// repeatingTarget answers each request on a connection, and sends a second copy of the answer to the one before.
-type repeatingTarget struct {
-	listener net.Listener
-	tasks    errgroup.Group
-	// body returns the part of a response after the headers that name the request.
-	body func(id string) string
-	// delay is the time from an answer to its second copy. If it is negative, the copy follows the next request, just
-	// before the answer to that one.
-	delay time.Duration
-}
-
-func newRepeatingTarget(delay time.Duration, body func(id string) string) *repeatingTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	So(err, ShouldBeNil)
-	t := &repeatingTarget{listener: listener, body: body, delay: delay}
-	t.tasks.Go(func() error {
+// newRepeatingTarget returns a target that answers each request on a connection, and sends a second copy of the answer.
+// The function body returns the part of a response after the headers that name the request. The delay is the time from an
+// answer to its second copy; if it is negative, the copy follows the next request, just before the answer to that one.
+func newRepeatingTarget(delay time.Duration, body func(id string) string) *connTarget {
+	return newConnTarget(func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		previous := ""
 		for {
-			c, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
-				return nil
+				return
 			}
-			t.tasks.Go(func() error {
-				t.serve(c)
-				return nil
-			})
+			id := request.Header.Get(standin.HeaderRequestID)
+			answer := signed + standin.HeaderRequestID + ": " + id + "\r\n" + body(id)
+			if delay < 0 {
+				_, _ = io.WriteString(c, previous+answer)
+				previous = answer
+				continue
+			}
+			_, _ = io.WriteString(c, answer)
+			time.Sleep(delay)
+			_, _ = io.WriteString(c, answer)
 		}
 	})
-	return t
-}
-
-func (t *repeatingTarget) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	previous := ""
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		id := request.Header.Get(standin.HeaderRequestID)
-		answer := signed + standin.HeaderRequestID + ": " + id + "\r\n" + t.body(id)
-		if t.delay < 0 {
-			_, _ = io.WriteString(c, previous+answer)
-			previous = answer
-			continue
-		}
-		_, _ = io.WriteString(c, answer)
-		time.Sleep(t.delay)
-		_, _ = io.WriteString(c, answer)
-	}
 }
 
 // A target may send an answer a second time, late, on a connection that is in use again. The caller whose request is
@@ -87,21 +59,17 @@
 		for when, delay := range delays {
 			Convey("An answer "+name+" is repeated "+when, t, func() {
 				target := newRepeatingTarget(delay, body)
-				m, err := metrics.New()
-				So(err, ShouldBeNil)
-				pool := upstream.NewPool(lovageshift.NewClock(), m)
-				registered := &catalog.Target{ID: "i-1", Address: target.listener.Addr().String()}
+				pool := newPool()
 				for i := range 30 {
 					id := fmt.Sprintf("r%d", i)
-					got, ok := sendOnce(pool, registered, id)
+					got, ok := sendOnce(pool, target.registered(), id)
 					if ok && got != "" {
 						So(got, ShouldEqual, id)
 					}
 					time.Sleep(time.Duration(i%3) * 700 * time.Microsecond)
 				}
-				_ = target.listener.Close()
 				pool.Expire(func(lovageshift.TargetID, int64) bool { return false })
-				_ = target.tasks.Wait()
+				target.close()
 			})
 		}
 	}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -13,11 +13,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-	"golang.org/x/sync/errgroup"
 
-	"lovageshift"
-	"lovageshift/catalog"
-	"lovageshift/metrics"
 	"lovageshift/upstream"
 )
 
@@ -31,34 +27,14 @@
 	endlessPatience = 2 * time.Second
 )
 
-// endlessTarget sends a beginning, and then a block again and again until its caller closes the connection.
-type endlessTarget struct {
-	listener net.Listener
-	tasks    errgroup.Group
-}
-
-func newEndlessTarget(beginning, repeated string) *endlessTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	So(err, ShouldBeNil)
-	e := &endlessTarget{listener: listener}
+// newEndlessTarget returns a target that sends a beginning, and then a block again and again until its caller closes the
+// connection.
+func newEndlessTarget(beginning, repeated string) *connTarget {
 	block := []byte(strings.Repeat(repeated, 1+(64<<10)/len(repeated)))
-	e.tasks.Go(func() error {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return nil
-			}
-			e.tasks.Go(func() error {
-				answerEndlessly(c, beginning, block)
-				return nil
-			})
-		}
-	})
-	return e
+	return newConnTarget(func(c net.Conn) { answerEndlessly(c, beginning, block) })
 }
 
 func answerEndlessly(c net.Conn, beginning string, block []byte) {
-	defer func() { _ = c.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
@@ -72,20 +48,11 @@
 	}
 }
 
-func (e *endlessTarget) close() {
-	_ = e.listener.Close()
-	_ = e.tasks.Wait()
-}
-
 // readAll sends a request and reads the body or the events of the response.
-func (e *endlessTarget) readAll(asEvents bool) error {
-	m, err := metrics.New()
-	So(err, ShouldBeNil)
-	pool := upstream.NewPool(lovageshift.NewClock(), m)
+func readAll(target *connTarget, asEvents bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	target := &catalog.Target{ID: "i-1", Address: e.listener.Addr().String()}
-	response, err := pool.Send(ctx, target, 10, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+	response, err := newPool().Send(ctx, target.registered(), 10, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
 	if err != nil {
 		return err
 	}
@@ -132,7 +99,7 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			started := time.Now()
-			err := target.readAll(c.asEvents)
+			err := readAll(target, c.asEvents)
 			took := time.Since(started)
 			runtime.ReadMemStats(&after)
 			target.close()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -42,9 +42,7 @@
 func newScriptedTarget(responses ...string) *scriptedTarget {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
-	m, err := metrics.New()
-	So(err, ShouldBeNil)
-	s := &scriptedTarget{listener: listener, pool: upstream.NewPool(lovageshift.NewClock(), m)}
+	s := &scriptedTarget{listener: listener, pool: newPool()}
 	s.target = &catalog.Target{ID: "i-1", Address: listener.Addr().String()}
 	s.tasks.Go(func() error {
 		for {
@@ -59,6 +57,49 @@
 	return s
 }
 
+// connTarget is a target that passes each connection to a function, on a goroutine of its own, and then closes it.
+type connTarget struct {
+	listener net.Listener
+	tasks    errgroup.Group
+}
+
+func newConnTarget(serve func(net.Conn)) *connTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	t := &connTarget{listener: listener}
+	t.tasks.Go(func() error {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			t.tasks.Go(func() error {
+				defer func() { _ = c.Close() }()
+				serve(c)
+				return nil
+			})
+		}
+	})
+	return t
+}
+
+// registered returns the target as the view has it.
+func (t *connTarget) registered() *catalog.Target {
+	return &catalog.Target{ID: "i-1", Address: t.listener.Addr().String()}
+}
+
+// close waits until all connections have ended.
+func (t *connTarget) close() {
+	_ = t.listener.Close()
+	_ = t.tasks.Wait()
+}
+
+func newPool() *upstream.Pool {
+	m, err := metrics.New()
+	So(err, ShouldBeNil)
+	return upstream.NewPool(lovageshift.NewClock(), m)
+}
+
 // serve answers the requests on a connection and returns the responses that have not been sent.
 func serve(c net.Conn, responses []string) []string {
 	defer func() { _ = c.Close() }()
