Log target and prompt parts of suspects, and what clears them

Change: suspect lines name target, prompt parts and events received; suspectCleared is logged when a complete answer removes a suspect. No decision changes. Result: go test ./gateway ./quarantine passes as before.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -41,7 +41,7 @@
 		}
 		result := r.attempt(ctx, slot)
 		if result.done {
-			g.suspects.clear(r.fingerprint())
+			g.suspects.clear(r)
 			r.logEnd("answered", "")
 			return
 		}
@@ -201,7 +201,7 @@
 // recordCrash records that the request may have crashed its target, provided that the error is a lost connection.
 func (r *request) recordCrash(err error) {
 	if errors.Is(err, upstream.ErrConnectionLost) {
-		r.gateway.suspects.recordCrash(r.gateway.clock.Now(), r.headers.ID, r.fingerprint())
+		r.gateway.suspects.recordCrash(r.gateway.clock.Now(), r)
 	}
 }
 
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -105,6 +105,15 @@
 	return len(r.job.Tried)
 }
 
+// partIDs returns the IDs of the prompt's parts, separated by commas.
+func (r *request) partIDs() string {
+	ids := make([]string, 0, len(r.headers.PromptParts))
+	for _, part := range r.headers.PromptParts {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // loggedOutput returns the expected output tokens by which the target was chosen, 0 if the request did not get that far.
 func (r *request) loggedOutput() lovageshift.Tokens {
 	if r.job == nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -34,19 +34,26 @@
 	return &suspects{register: quarantine.NewRegister(suspectTTL, crashesToRefuse), log: log}
 }
 
-// recordCrash counts a lost connection as a crash of the target by the request that was sent on that connection.
-func (s *suspects) recordCrash(now lovageshift.Millis, id string, fingerprint lovageshift.Fingerprint) {
+// recordCrash counts a lost connection to a target as a crash of it by the request that was sent on that connection.
+func (s *suspects) recordCrash(now lovageshift.Millis, r *request) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	suspect := s.register.RecordCrash(now, fingerprint)
-	s.log.Info("suspect", "request", id, "fingerprint", strconv.FormatUint(uint64(fingerprint), 16), "crashes", suspect.Crashes)
+	suspect := s.register.RecordCrash(now, r.fingerprint())
+	s.log.Info("suspect", "request", r.headers.ID, "fingerprint", hexadecimal(r.fingerprint()), "crashes", suspect.Crashes,
+		"target", r.summary.target, "parts", r.partIDs(), "events", r.summary.targetEvents)
 }
 
-// clear removes the suspect with the fingerprint, whose request has got a complete response.
-func (s *suspects) clear(fingerprint lovageshift.Fingerprint) {
+// clear removes the suspect for a request that has got a complete response, if there is one.
+func (s *suspects) clear(r *request) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.register.Clear(fingerprint)
+	if s.register.Clear(r.fingerprint()) {
+		s.log.Info("suspectCleared", "request", r.headers.ID, "fingerprint", hexadecimal(r.fingerprint()), "target", r.summary.target)
+	}
+}
+
+func hexadecimal(fingerprint lovageshift.Fingerprint) string {
+	return strconv.FormatUint(uint64(fingerprint), 16)
 }
 
 // refuses reports whether the request with the fingerprint has reached crashesToRefuse and must be refused.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -91,11 +91,15 @@
 	return true
 }
 
-// Clear removes a suspect. Callers do so when the request has got a complete answer, so did not crash its target.
-func (r *Register) Clear(fingerprint lovageshift.Fingerprint) {
-	if element := r.suspects[fingerprint]; element != nil {
-		r.remove(element)
+// Clear removes a suspect and returns whether there was one. Callers do so when the request has got a complete answer, so
+// did not crash its target.
+func (r *Register) Clear(fingerprint lovageshift.Fingerprint) bool {
+	element := r.suspects[fingerprint]
+	if element == nil {
+		return false
 	}
+	r.remove(element)
+	return true
 }
 
 // Check returns whether and how a request with the fingerprint may run.
