--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,6 +191,9 @@
 	})
 }
 
+// LiveEntries returns the number of live entries, this one included; see exchange.MemberCounts.
+func (g *Gateway) LiveEntries() int { return int(g.liveEntries.Load()) }
+
 // RegisterGauges registers gauges for the age of the view, the number of entries and the dropped log lines.
 func (g *Gateway) RegisterGauges() error {
 	gauges := map[string]func() float64{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -71,51 +71,79 @@
 	s.store.PutBytes((&standin.Replica{ID: "foreign"}).Key(), []byte("{"))
 	s.publish(key)
 	storeServer := httptest.NewServer(s.store)
+	entry := startEntry(storeServer.Listener.Addr().String(), func(*gateway.Gateway) (gateway.Peers, func(context.Context) error) {
+		return peers, func(context.Context) error { return nil }
+	})
+	s.gateway, s.url = entry.gateway, entry.url
+	s.stop = func() {
+		entry.stop()
+		storeServer.CloseClientConnections()
+		storeServer.Close()
+		for _, closer := range closers {
+			closer()
+		}
+	}
+	s.waitFor(s.gateway.Ready)
+	return s
+}
+
+// testEntry is one entry that serves callers at a URL.
+type testEntry struct {
+	gateway *gateway.Gateway
+	url     string
+	stop    func()
+}
+
+// startEntry starts an entry that reads the store at the address. The function peersOf returns the entry's peers and what
+// runs as long as the entry does.
+func startEntry(storeAddress string, peersOf func(*gateway.Gateway) (gateway.Peers, func(context.Context) error)) *testEntry {
 	m, err := metrics.New()
 	So(err, ShouldBeNil)
 	clock := lovageshift.NewClock()
 	transport := &http.Transport{}
 	tracker := discovery.NewTracker(discovery.Options{
 		Store: platform.NewStore(transport), Clock: clock, Metrics: m,
-		Address: func() string { return storeServer.Listener.Addr().String() },
+		Address: func() string { return storeAddress },
 	})
-	s.gateway = gateway.New(gateway.Options{
+	e := &testEntry{}
+	e.gateway = gateway.New(gateway.Options{
 		Clock: clock, Metrics: m, Tracker: tracker, Revocation: 5000,
 		Retry:     retry.Bounds{Ratio: 0.2, Slack: 50, Window: 10_000},
 		Placement: placement.ColdBounds{ColdOvershoot: 1.5, ColdSlack: 5},
 		Quota:     quota.Tolerance{},
 	})
-	s.gateway.SetPeers(peers)
+	peers, runPeers := peersOf(e.gateway)
+	e.gateway.SetPeers(peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks errgroup.Group
 	tasks.Go(func() error { return tracker.Run(ctx) })
-	tasks.Go(func() error { return s.gateway.Run(ctx) })
-	gatewayServer := httptest.NewUnstartedServer(s.gateway)
-	gatewayServer.Config.ConnContext = gateway.ConnContext
-	gatewayServer.Start()
-	s.url = gatewayServer.URL
-	s.stop = func() {
+	tasks.Go(func() error { return e.gateway.Run(ctx) })
+	tasks.Go(func() error { return runPeers(ctx) })
+	server := httptest.NewUnstartedServer(e.gateway)
+	server.Config.ConnContext = gateway.ConnContext
+	server.Start()
+	e.url = server.URL
+	e.stop = func() {
 		cancel()
 		transport.CloseIdleConnections()
-		gatewayServer.CloseClientConnections()
-		gatewayServer.Close()
-		storeServer.CloseClientConnections()
-		storeServer.Close()
-		for _, closer := range closers {
-			closer()
-		}
+		server.CloseClientConnections()
+		server.Close()
 		_ = tasks.Wait()
 	}
-	s.waitFor(s.gateway.Ready)
-	return s
+	return e
 }
 
 // publish raises s.version by 2 and writes a configuration with that version to the store; apiKey is the only key in
 // it.
 func (s *setup) publish(apiKey string) {
 	s.version += 2
-	s.store.Put(standin.ConfigKey, map[string]any{
-		"version": s.version,
+	s.store.Put(standin.ConfigKey, configuration(s.version, s.rate, apiKey))
+}
+
+// configuration returns a configuration whose only account has the key, and the rate and burst in tokens.
+func configuration(version int, rate float64, apiKey string) map[string]any {
+	return map[string]any{
+		"version": version,
 		"routes": []map[string]any{
 			{"name": "chat", "host": "h", "prefix": "/chat/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500, "service": "pool", "attempts": 1},
 			{"name": "resume", "host": "h", "prefix": "/resume/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500, "service": "pool", "attempts": 2, "resume_streams": true},
@@ -127,8 +155,8 @@
 		},
 		"services": []map[string]any{{"name": "pool", "connection_limit": 100}},
 		"limits":   map[string]any{"max_body_bytes": 64, "max_header_bytes": 16384},
-		"tenants":  []map[string]any{{"name": "acme", "api_keys": []string{apiKey}, "unit": "tokens", "plain_tokens": 10, "rate_per_s": s.rate, "burst": s.rate}},
-	})
+		"tenants":  []map[string]any{{"name": "acme", "api_keys": []string{apiKey}, "unit": "tokens", "plain_tokens": 10, "rate_per_s": rate, "burst": rate}},
+	}
 }
 
 // waitFor checks the condition until it holds, with pauses of 10 ms, and fails the test after 3000 checks.
--- /dev/null
+++ b/gateway/installation_test.go
@@ -0,0 +1,187 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift"
+	"lovageshift/exchange"
+	"lovageshift/gateway"
+	"lovageshift/metrics"
+	"lovageshift/standin"
+)
+
+// installation is several entries, which exchange datagrams over loopback, with one store and targets that restart.
+type installation struct {
+	store   *standin.Store
+	server  *httptest.Server // serves the store
+	entries []*testEntry
+	hosts   []*host
+	group   errgroup.Group
+	cancel  context.CancelFunc
+}
+
+// host is the address at which incarnations of one target run, one after another.
+type host struct {
+	store   *standin.Store
+	address string
+	replica *standin.Replica
+	down    time.Duration // time between a crash and the next start
+	crashed chan struct{}
+
+	mutex   sync.Mutex
+	born    int64
+	crashes []time.Time
+}
+
+// newInstallation starts the entries and the targets, each with 4 slots and streams of some events, and waits until the
+// entries are ready and know of each other. The function crashes reports whether a request crashes its target.
+func newInstallation(entries, targets int, crashes func(*http.Request) bool) *installation {
+	i := &installation{store: standin.NewStore()}
+	i.server = httptest.NewServer(i.store)
+	i.store.Put(standin.ConfigKey, configuration(2, 1e6, key))
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	for number := range targets {
+		h := newHost(i.store, number, crashes)
+		i.hosts = append(i.hosts, h)
+		i.group.Go(func() error { return h.run(ctx) })
+	}
+	for number := range entries {
+		i.entries = append(i.entries, i.startEntry(number, entries))
+	}
+	for range 1000 {
+		if i.ready() {
+			return i
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	So("the entries are not ready", ShouldBeEmpty)
+	return i
+}
+
+func entryAddress(number int) string { return fmt.Sprintf("127.0.1.%d", number+1) }
+
+// startEntry starts an entry whose seeds are all entries.
+func (i *installation) startEntry(number, entries int) *testEntry {
+	return startEntry(i.server.Listener.Addr().String(), func(g *gateway.Gateway) (gateway.Peers, func(context.Context) error) {
+		conn, err := net.ListenPacket("udp4", entryAddress(number)+":7601")
+		So(err, ShouldBeNil)
+		m, err := metrics.New()
+		So(err, ShouldBeNil)
+		node := exchange.NewNode(exchange.Options{
+			Self: netip.MustParseAddr(entryAddress(number)), Port: 7601, State: g, Clock: lovageshift.NewClock(), Metrics: m, Conn: conn,
+		})
+		var seeds []string
+		for other := range entries {
+			seeds = append(seeds, entryAddress(other))
+		}
+		node.SetSeeds(seeds)
+		return node, node.Run
+	})
+}
+
+func (i *installation) ready() bool {
+	for _, entry := range i.entries {
+		if !entry.gateway.Ready() || entry.gateway.LiveEntries() != len(i.entries) {
+			return false
+		}
+	}
+	return true
+}
+
+func (i *installation) stop() {
+	for _, entry := range i.entries {
+		entry.stop()
+	}
+	i.cancel()
+	_ = i.group.Wait()
+	i.server.CloseClientConnections()
+	i.server.Close()
+}
+
+// send sends a request for a stream of the route through the entry.
+func (i *installation) send(entry int, request standin.CallerRequest) standin.Reply {
+	request.Host, request.Method, request.Key = "h", "POST", key
+	address := strings.TrimPrefix(i.entries[entry%len(i.entries)].url, "http://")
+	return standin.Send(context.Background(), http.DefaultTransport, address, request)
+}
+
+// received returns the requests that reached the targets.
+func (i *installation) received() (all []standin.ReceivedRequest) {
+	for _, h := range i.hosts {
+		all = append(all, h.replica.Received()...)
+	}
+	return all
+}
+
+// crashes returns when targets crashed, in no order.
+func (i *installation) crashes() (all []time.Time) {
+	for _, h := range i.hosts {
+		h.mutex.Lock()
+		all = append(all, h.crashes...)
+		h.mutex.Unlock()
+	}
+	return all
+}
+
+func newHost(store *standin.Store, number int, crashes func(*http.Request) bool) *host {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	h := &host{store: store, address: listener.Addr().String(), down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
+	So(listener.Close(), ShouldBeNil)
+	h.replica = &standin.Replica{
+		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: 4, EventCount: 4, EventInterval: 10 * time.Millisecond,
+		CrashesOn: crashes,
+		OnCrash: func() {
+			select {
+			case h.crashed <- struct{}{}:
+			default: // it is crashing already
+			}
+		},
+	}
+	return h
+}
+
+// run runs one incarnation after another until the context ends.
+func (h *host) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		listener, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return err
+		}
+		h.register()
+		server := &http.Server{Handler: h.replica, ReadHeaderTimeout: time.Second}
+		var group errgroup.Group
+		group.Go(func() error { return server.Serve(listener) })
+		select {
+		case <-h.crashed:
+			h.mutex.Lock()
+			h.crashes = append(h.crashes, time.Now())
+			h.mutex.Unlock()
+		case <-ctx.Done():
+		}
+		_ = server.Close()
+		_ = group.Wait()
+		lovageshift.Pause(ctx, h.down)
+	}
+	return nil
+}
+
+// register writes the record of the next incarnation to the store.
+func (h *host) register() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.born++
+	h.store.Put(h.replica.Key(), h.replica.Record(standin.Registration{Address: h.address, Zone: "zone-a", Born: h.born, Sequence: 1}))
+}
--- a/soak/target.go
+++ b/soak/target.go
@@ -108,7 +108,7 @@
 	}
 	replica := &standin.Replica{
 		ID: id, Service: h.service, Slots: targetSlots, ServiceTime: workTime,
-		CrashesOn: func(uri string) bool { return strings.HasPrefix(uri, fatalPrefix) },
+		CrashesOn: func(r *http.Request) bool { return strings.HasPrefix(r.RequestURI, fatalPrefix) },
 	}
 	if h.service == streamService {
 		replica.EventCount, replica.EventInterval = streamEvents, workTime
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -25,6 +25,8 @@
 	// PromptTokens and OutputTokens are the token counts that the caller declares.
 	PromptTokens int
 	OutputTokens int
+	// PromptParts are the parts of the prompt as ID:TOKENS entries, separated by commas; "" declares none.
+	PromptParts string
 }
 
 // Reply is the response as the caller received it.
@@ -60,6 +62,9 @@
 	httpRequest.Header.Set(HeaderRequestID, request.ID)
 	httpRequest.Header.Set("Authorization", authScheme+request.Key)
 	httpRequest.Header.Set("Lovageshift-Token-Counts", fmt.Sprintf("%d,%d", request.PromptTokens, request.OutputTokens))
+	if request.PromptParts != "" {
+		httpRequest.Header.Set(HeaderPromptParts, request.PromptParts)
+	}
 	if request.TimeoutMillis > 0 {
 		httpRequest.Header.Set("Lovageshift-Deadline-Milliseconds", strconv.Itoa(request.TimeoutMillis))
 	}
--- a/standin/headers.go
+++ b/standin/headers.go
@@ -4,4 +4,6 @@
 const (
 	HeaderRequestID = "Lovageshift-Request-Id"
 	HeaderSignature = "Lovageshift-Response-Seal"
+	// HeaderPromptParts lists the parts of the prompt as ID:TOKENS entries.
+	HeaderPromptParts = "Lovageshift-Prompt-Prefix"
 )
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -22,9 +22,9 @@
 	EventInterval time.Duration
 	ServiceTime   time.Duration
 
-	// CrashesOn, if set, reports whether a request with the URI crashes the replica. The replica then calls OnCrash,
-	// which must be set too, and aborts the connection.
-	CrashesOn func(uri string) bool
+	// CrashesOn, if set, reports whether a request crashes the replica. The replica then calls OnCrash, which must be set
+	// too, and aborts the connection.
+	CrashesOn func(request *http.Request) bool
 	OnCrash   func()
 
 	mutex    sync.Mutex
@@ -63,6 +63,7 @@
 	Executed       bool
 	URI            string
 	Body           string
+	PromptParts    string // the header with the parts of the prompt
 	Account        string // the client account that the entry names
 	Authorization  string // the Authorization header
 	LastEventID    string // the Last-Event-Id header
@@ -131,7 +132,7 @@
 		return
 	}
 	defer r.release()
-	if r.CrashesOn != nil && r.CrashesOn(request.RequestURI) {
+	if r.CrashesOn != nil && r.CrashesOn(request) {
 		r.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
@@ -168,7 +169,8 @@
 	body, _ := io.ReadAll(request.Body)
 	received := ReceivedRequest{
 		ID: request.Header.Get(HeaderRequestID), URI: request.RequestURI, Body: string(body),
-		Account: request.Header.Get("Lovageshift-Tenant"), Authorization: request.Header.Get("Authorization"),
+		PromptParts: request.Header.Get(HeaderPromptParts),
+		Account:     request.Header.Get("Lovageshift-Tenant"), Authorization: request.Header.Get("Authorization"),
 		LastEventID:    request.Header.Get("Last-Event-Id"),
 		DeadlineMillis: request.Header.Get("Lovageshift-Deadline-Milliseconds"),
 		ReceivedAt:     time.Now(),
