--- a/standin/replica.go
+++ b/standin/replica.go
@@ -30,6 +30,7 @@
 	mutex    sync.Mutex
 	running  int // requests that run now
 	fault    ReplicaFault
+	limit    string
 	received []ReceivedRequest
 }
 
@@ -78,6 +79,13 @@
 	r.fault = fault
 }
 
+// SetLimit sets the number of requests a second that the replica names as its limit in all answers from now on, "" for none.
+func (r *Replica) SetLimit(perSecond string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.limit = perSecond
+}
+
 // Executed returns the requests that the replica ran, in order of arrival.
 func (r *Replica) Executed() []ReceivedRequest {
 	return slices.DeleteFunc(r.Received(), func(received ReceivedRequest) bool { return !received.Executed })
@@ -126,6 +134,9 @@
 		return
 	}
 	fault, executed := r.admit(request)
+	if limit := r.currentLimit(); limit != "" {
+		header.Set(HeaderLimit, limit)
+	}
 	if !executed {
 		header.Set("Lovageshift-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -185,6 +196,12 @@
 	return r.fault, received.Executed
 }
 
+func (r *Replica) currentLimit() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.limit
+}
+
 // release frees the slot of a request that has ended.
 func (r *Replica) release() {
 	r.mutex.Lock()
