Keep the limit that a target names, over all entries

Cause: nothing read the header. Kind of fault: a bound for all entries together that no entry knows of; each for itself, they would exceed it by their number. A grant says whether the granter knows the limit; otherwise the requesting entry uses its even share (granter just started, or an earlier build). Why it works: one entry counts all grants at a target.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -239,6 +239,7 @@
 		update.Cold = append(update.Cold, uint32(hash))
 		update.ColdMillis = append(update.ColdMillis, uint32(left))
 	}
+	update.Limits = limitMessages(g.scheduler.Limits(now))
 	for _, use := range g.meter.Usages(now) {
 		update.Accounts = append(update.Accounts, &wire.AccountUse{
 			Account: uint32(use.Account), Used: int64(use.Used), Declared: int64(use.Declared),
@@ -283,6 +284,7 @@
 	if len(update.Cold) > 0 {
 		g.scheduler.MergeCold(now, coldTargets(update))
 	}
+	g.scheduler.MergeLimits(now, limitReports(update.Limits))
 	g.scheduler.UpdatePeer(now, from, running)
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -46,34 +46,37 @@
 		limited := i.hosts[0].replica
 		limited.SetLimit(fmt.Sprint(limit))
 		namedAt := time.Now()
-		var number, sent, answered atomic.Int64
-		var callers errgroup.Group
-		end := namedAt.Add(9 * time.Second)
-		for range 6 {
-			callers.Go(func() error {
-				for time.Now().Before(end) {
-					n := number.Add(1)
-					reply := i.send(int(n), standin.CallerRequest{ID: fmt.Sprintf("r-%d", n), Path: "/chat/x", Body: fmt.Sprint(n)})
-					sent.Add(1)
-					if reply.Complete && reply.Status == http.StatusOK {
-						answered.Add(1)
-					}
-					time.Sleep(30 * time.Millisecond)
-				}
-				return nil
-			})
-		}
-		_ = callers.Wait()
+		sent, answered := i.load(6, 9*time.Second)
 		allowed := int(limitOvershoot*limit*limitWindow.Seconds()) + limitSlack
-		So(mostInWindow(limited.Received(), namedAt.Add(contactTime)), ShouldBeLessThanOrEqualTo, allowed)
-		So(mostInWindow(limited.Received(), namedAt.Add(contactTime)), ShouldBeGreaterThan, 0)
-		So(answered.Load(), ShouldBeGreaterThan, sent.Load()*9/10)
+		So(mostInWindow(limited.Received(), namedAt.Add(contactTime)), ShouldBeBetweenOrEqual, 1, allowed)
+		So(answered, ShouldBeGreaterThan, sent*9/10)
 		limited.SetLimit("")
+		i.load(12, 2*time.Second)
 		before := len(limited.Received())
-		for range 200 {
-			n := number.Add(1)
-			i.send(int(n), standin.CallerRequest{ID: fmt.Sprintf("r-%d", n), Path: "/chat/x", Body: fmt.Sprint(n)})
-		}
-		So(len(limited.Received())-before, ShouldBeGreaterThan, 20)
+		i.load(12, 4*time.Second)
+		So(len(limited.Received())-before, ShouldBeGreaterThan, allowed)
 	})
 }
+
+// load sends requests through all entries, each caller one after the other, and returns how many were sent and answered.
+func (i *installation) load(count int, duration time.Duration) (sent, answered int64) {
+	var sentCount, answeredCount atomic.Int64
+	var callers errgroup.Group
+	end := time.Now().Add(duration)
+	for range count {
+		callers.Go(func() error {
+			for time.Now().Before(end) {
+				n := sentCount.Add(1)
+				id := fmt.Sprintf("r-%d-%d", end.UnixNano(), n)
+				reply := i.send(int(n), standin.CallerRequest{ID: id, Path: "/chat/x", Body: id})
+				if reply.Complete && reply.Status == http.StatusOK {
+					answeredCount.Add(1)
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	_ = callers.Wait()
+	return sentCount.Load(), answeredCount.Load()
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -117,9 +117,7 @@
 		return r.noResponse(ctx, sendCtx, slot, err)
 	}
 	defer response.Close()
-	if response.Decoded.HasLimit {
-		g.log.Info("targetLimit", "target", slot.Target.ID, "perSecond", response.Decoded.Limit, "request", r.headers.ID, "notRun", response.Decoded.NotRun)
-	}
+	r.recordLimit(slot, response.Decoded)
 	if !valid && !response.Decoded.NotRun {
 		return r.noResponse(ctx, sendCtx, slot, errAttemptCanceled)
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -58,11 +58,13 @@
 }
 
 // eligible reports whether a free target may get the waiter's job now: it was not tried for the job, it still has
-// capacity and, if it may be cold, the waiter may get a cold target, this entry has a quorum and the target is below its
-// cold limit.
+// capacity, it is within the limit that it named and, if it may be cold, the waiter may get a cold target, this entry has a
+// quorum and the target is below its cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
-	case t.mayBeCold(now) && !(w.mayGetCold && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
+	case t.mayBeCold(now) && !(w.role != Other && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
+		return false
+	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
 		return false
 	case t.running() >= t.capacity():
 		return false
--- a/placement/job.go
+++ b/placement/job.go
@@ -94,9 +94,9 @@
 	// promoted reports whether the waiter goes before all that are not promoted, whatever their rank. queue.promote
 	// sets it and deducts the request's work from the credit of its rank (see queue.credit).
 	promoted bool
-	// mayGetCold reports whether the waiter may get a cold target (see the package comment): only if this entry was the
-	// group's coordinator or backup at the submission, and so knew the requests at the group's targets.
-	mayGetCold bool
+	// role is what this entry was to the group at the submission. A coordinator or backup knows the requests at the group's
+	// targets, and so may assign those that are cold (see the package comment) or have a limit.
+	role Role
 	// wellEnough is what the target has to fulfil. In place of a refusal, the request also gets one that is only expected to
 	// complete it by its deadline.
 	wellEnough prediction
--- /dev/null
+++ b/placement/limit_test.go
@@ -0,0 +1,94 @@
+package placement_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"lovageshift"
+	"lovageshift/catalog"
+	"lovageshift/placement"
+)
+
+// limited returns a scheduler whose only target has named the limit to this entry at time 1.
+func limited(perSecond float64) *placement.Scheduler {
+	s := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(1, 100)...)
+	name(s, 1, perSecond)
+	return s
+}
+
+// name serves a request whose response names the limit.
+func name(s *placement.Scheduler, now lovageshift.Millis, perSecond float64) {
+	slot := submit(s, now, &placement.Job{}).Slot
+	So(slot, ShouldNotBeNil)
+	s.RecordLimit(now, slot, placement.Limit{PerSecond: perSecond, Named: true})
+	s.Release(now, slot, placement.Result{Outcome: placement.Served})
+}
+
+// granted returns how many of the requests that keep coming in 4 s get a slot.
+func granted(s *placement.Scheduler, from lovageshift.Millis) int {
+	count := 0
+	for now := from; now < from+4000; now += 10 {
+		if slot := submit(s, now, &placement.Job{QueueDeadline: now + 1}).Slot; slot != nil {
+			count++
+			s.Release(now, slot, placement.Result{Outcome: placement.Served})
+		}
+	}
+	return count
+}
+
+func TestLimits(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 1.9, 10, 60} {
+		Convey("A target gets what it takes, and hardly more", t, func() {
+			So(granted(limited(perSecond), 10_000), ShouldBeBetweenOrEqual, int(4*perSecond), int(4.25*perSecond)+1)
+		})
+	}
+	Convey("A target that takes none is still asked now and then", t, func() {
+		So(granted(limited(0), 10_000), ShouldEqual, 1)
+	})
+	Convey("The limit is unknown to an entry that nobody told, and kept by one that another entry told", t, func() {
+		other := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(1, 100)...)
+		So(granted(other, 1000), ShouldEqual, 400)
+		other.MergeLimits(5000, limited(2).Limits(5000))
+		So(granted(other, 5000), ShouldBeBetweenOrEqual, 7, 9)
+	})
+	Convey("A response without a limit ends it, also for entries told by another one; an older report does not bring it back", t, func() {
+		s, other := limited(2), limited(2)
+		old := s.Limits(2000)
+		slot := submit(s, 5000, &placement.Job{}).Slot
+		So(s.RecordLimit(5000, slot, placement.Limit{}), ShouldBeTrue)
+		s.Release(5000, slot, placement.Result{Outcome: placement.Served})
+		So(granted(s, 5000), ShouldEqual, 400)
+		other.MergeLimits(6000, s.Limits(6000))
+		other.MergeLimits(6000, old)
+		So(granted(other, 6000), ShouldEqual, 400)
+	})
+	Convey("A report about an earlier incarnation of the target is ignored", t, func() {
+		reports := limited(2).Limits(1000)
+		reports[0].Born = 7
+		s := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(1, 100)...)
+		s.MergeLimits(1000, reports)
+		So(granted(s, 1000), ShouldEqual, 400)
+	})
+	Convey("Without a quorum an entry takes its even share", t, func() {
+		s := limited(8)
+		s.SetEntries(4, 2, 0)
+		So(granted(s, 10_000), ShouldBeBetweenOrEqual, 8, 9)
+	})
+	Convey("A slot granted by an entry that does not know the limit counts against the even share", t, func() {
+		s := limited(8)
+		s.SetEntries(4, 4, 0)
+		accepted := 0
+		for now := lovageshift.Millis(10_000); now < 14_000; now += 10 {
+			grant := placement.Reply{Granted: true, Target: placement.HashOf("i-0")}
+			slot, err := s.AcquireGranted(now, peer, grant, &placement.Job{})
+			if err == nil {
+				accepted++
+				s.Release(now, slot, placement.Result{Outcome: placement.Served})
+			} else {
+				So(err, ShouldEqual, placement.ErrOverLimit)
+			}
+		}
+		So(accepted, ShouldBeBetweenOrEqual, 8, 9)
+	})
+}
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -34,14 +34,16 @@
 	// Running is how many requests of all entries were at the target, as far as the granting entry knew, when the
 	// target was chosen.
 	Running int
-	Refusal *Refusal
+	// KeepsLimit is set if the granting entry knows the limit that the target named.
+	KeepsLimit bool
+	Refusal    *Refusal
 }
 
 // Reserve handles another entry's request for a slot, as Submit does for a request of this entry. A repeated request,
 // one with the same id, takes no second slot and gets the current reply. If the first reply says that the request
 // waits, onDecision is called once with the decision, unless the reservation is ended or dropped before. It must not
 // call the scheduler.
-func (s *Scheduler) Reserve(now lovageshift.Millis, from netip.Addr, id uint64, group GroupID, mayAssignCold bool, job *Job, onDecision func(Reply)) Reply {
+func (s *Scheduler) Reserve(now lovageshift.Millis, from netip.Addr, id uint64, group GroupID, role Role, job *Job, onDecision func(Reply)) Reply {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	key := reservationKey{from, id}
@@ -57,11 +59,11 @@
 	r := &reservation{job: job, at: now}
 	s.reservations[key] = r
 	submitting := true
-	r.waiter = s.submit(now, group, mayAssignCold, job, func(chosen *targetState, refusal *Refusal) {
+	r.waiter = s.submit(now, group, role, job, func(chosen *targetState, refusal *Refusal) {
 		r.reply = Reply{Refusal: refusal}
 		if chosen != nil {
 			r.target = chosen
-			r.reply = Reply{Granted: true, Target: HashOf(chosen.ID), Born: chosen.Born, Running: chosen.running()}
+			r.reply = Reply{Granted: true, Target: HashOf(chosen.ID), Born: chosen.Born, Running: chosen.running(), KeepsLimit: chosen.limit.inForce(now)}
 			chosen.updatePeer(now, from, func(l *peerLoad) { l.reserved++ })
 		}
 		if !submitting {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -234,13 +235,13 @@
 	return groups[0]
 }
 
-// Submit queues a request of this entry for a slot at one of the group's targets; mayAssignCold reports whether this
-// entry is the group's coordinator or backup, and so may assign a cold target. The function onDecision is called once,
-// possibly before Submit returns, unless the request is canceled first. It must not call the scheduler.
-func (s *Scheduler) Submit(now lovageshift.Millis, group GroupID, mayAssignCold bool, job *Job, onDecision func(Decision)) *Waiter {
+// Submit queues a request of this entry for a slot at one of the group's targets. The role is what
+// this entry is to the group. The function onDecision is called once, possibly before Submit returns, unless the request is
+// canceled first. It must not call the scheduler.
+func (s *Scheduler) Submit(now lovageshift.Millis, group GroupID, role Role, job *Job, onDecision func(Decision)) *Waiter {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.submit(now, group, mayAssignCold, job, func(chosen *targetState, refusal *Refusal) {
+	return s.submit(now, group, role, job, func(chosen *targetState, refusal *Refusal) {
 		if chosen == nil {
 			onDecision(Decision{Refusal: refusal})
 			return
@@ -249,10 +250,10 @@
 	})
 }
 
-func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, mayAssignCold bool, job *Job, onDecision func(*targetState, *Refusal)) *Waiter {
+func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, role Role, job *Job, onDecision func(*targetState, *Refusal)) *Waiter {
 	s.submitted++
 	w := &Waiter{
-		job: job, group: group, mayGetCold: mayAssignCold, number: s.submitted, onDecision: onDecision,
+		job: job, group: group, role: role, number: s.submitted, onDecision: onDecision,
 		wellEnough: s.bestPrediction(now, group, job),
 	}
 	q := s.queues[group]
@@ -281,22 +282,31 @@
 	s.queues[w.group].remove(w)
 }
 
-// AcquireGranted takes a slot that the entry at the address granter granted to the job, at the incarnation of the target that started at
-// born; running is how many requests were at the target as far as the granting entry knew. It returns nil if this entry
-// does not know that incarnation.
-func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, hash TargetHash, born int64, running int, job *Job) *Slot {
+// AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
+// this entry does not know the target's incarnation, and ErrOverLimit if the granter does not know the target's limit and
+// the slot would exceed it.
+func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	t := s.byHash[hash]
-	if t == nil || t.Born != born {
-		return nil
+	t := s.byHash[grant.Target]
+	if t == nil || t.Born != grant.Born {
+		return nil, ErrUnknownTarget
+	}
+	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
+		return nil, ErrOverLimit
 	}
 	slot := s.acquire(now, t, job)
-	slot.Running, slot.granter = running, granter
+	slot.Running, slot.granter = grant.Running, granter
 	t.ownByGranter[granter]++
-	return slot
+	return slot, nil
 }
 
+// Errors of AcquireGranted.
+var (
+	ErrUnknownTarget = errors.New("the slot is at an unknown target")
+	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
+)
+
 func (s *Scheduler) acquire(now lovageshift.Millis, chosen *targetState, job *Job) *Slot {
 	slot := &Slot{
 		Target:         chosen.Target,
@@ -402,6 +412,9 @@
 
 func (s *Scheduler) grant(now lovageshift.Millis, q *queue, w *Waiter, chosen *targetState) {
 	q.recordGrant(now, w)
+	if chosen.limit.inForce(now) {
+		chosen.limit.assigned.take()
+	}
 	if chosen.service.ColdPerSecond > 0 {
 		chosen.grantTimes = append(chosen.grantTimes, now)
 	}
--- a/placement/target.go
+++ b/placement/target.go
@@ -77,6 +77,7 @@
 	// maybeColdUntil is the time until which the target may be cold although this entry's view does not say so: a
 	// connection to it failed or was lost, or another entry reported it as cold.
 	maybeColdUntil lovageshift.Millis
+	limit          limitState
 	// grantTimes are the times at which this entry granted slots at the target, to its own requests and to other
 	// entries'. If the service has a ColdPerSecond, they are also recorded while the target is not known to be cold, as
 	// it may turn out to have been cold then. belowColdLimit drops those older than coldWindow.
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -70,21 +71,24 @@
 	for range maxCoordinators {
 		coordinator := c.coordinatorOf(group)
 		if coordinator == c.peers.Self() {
-			return c.submitLocally(ctx, group, c.mayAssignCold(group), job)
+			return c.submitLocally(ctx, group, c.roleIn(group), job)
 		}
-		decision, ok := c.requestSlot(ctx, coordinator, group, job)
-		if ok {
+		decision, err := c.requestSlot(ctx, coordinator, group, job)
+		for errors.Is(err, placement.ErrOverLimit) {
+			decision, err = c.requestSlot(ctx, coordinator, group, job)
+		}
+		if err == nil {
 			return decision
 		}
 		c.avoid(coordinator, group)
 	}
-	return c.submitLocally(ctx, group, false, job)
+	return c.submitLocally(ctx, group, placement.Other, job)
 }
 
 // submitLocally queues the job at this entry's own scheduler and waits for the decision or the end of the context.
-func (c *Client) submitLocally(ctx context.Context, group placement.GroupID, mayAssignCold bool, job *placement.Job) placement.Decision {
+func (c *Client) submitLocally(ctx context.Context, group placement.GroupID, role placement.Role, job *placement.Job) placement.Decision {
 	decided := make(chan placement.Decision, 1)
-	waiter := c.scheduler.Submit(c.clock.Now(), group, mayAssignCold, job, func(d placement.Decision) { decided <- d })
+	waiter := c.scheduler.Submit(c.clock.Now(), group, role, job, func(d placement.Decision) { decided <- d })
 	select {
 	case decision := <-decided:
 		return decision
@@ -130,9 +134,12 @@
 	delete(c.pending, id)
 }
 
-// requestSlot sends reservation requests for the job to the coordinator until there is a decision or the context ends;
-// ok is false if the coordinator is unresponsive, or if it grants a slot at a target that this entry does not know.
-func (c *Client) requestSlot(ctx context.Context, coordinator netip.Addr, group placement.GroupID, job *placement.Job) (decision placement.Decision, ok bool) {
+// errUnresponsive is the error for a coordinator that replies to none of maxUnanswered requests.
+var errUnresponsive = errors.New("the coordinator is unresponsive")
+
+// requestSlot sends reservation requests for the job to the coordinator until there is a decision or the context ends. It
+// returns errUnresponsive, or an error of AcquireGranted if the granted slot cannot be used.
+func (c *Client) requestSlot(ctx context.Context, coordinator netip.Addr, group placement.GroupID, job *placement.Job) (placement.Decision, error) {
 	id, replies := c.register()
 	defer c.unregister(id)
 	unanswered, interval := 0, resendMillis
@@ -142,12 +149,12 @@
 		switch {
 		case reply == nil && ctx.Err() != nil:
 			c.end(coordinator, id, placement.Result{})
-			return c.deadlineRefusal(job), true
+			return c.deadlineRefusal(job), nil
 		case reply == nil:
 			unanswered++
 			if unanswered >= maxUnanswered {
 				c.end(coordinator, id, placement.Result{})
-				return placement.Decision{}, false
+				return placement.Decision{}, errUnresponsive
 			}
 		case reply.State == wire.ReserveState_RESERVE_STATE_QUEUED:
 			unanswered, interval = 0, refreshMillis
@@ -174,8 +181,9 @@
 }
 
 // accept turns the coordinator's reply that a reservation is granted or refused into the decision on the job, and
-// acquires the slot if one is granted. It returns false if the slot is at a target that this entry does not know.
-func (c *Client) accept(coordinator netip.Addr, id uint64, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, bool) {
+// acquires the slot if one is granted. If the slot cannot be used, it marks the target as tried and returns the error of
+// AcquireGranted.
+func (c *Client) accept(coordinator netip.Addr, id uint64, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
 	now := c.clock.Now()
 	if reply.State == wire.ReserveState_RESERVE_STATE_REFUSED {
 		reason := lovageshift.ReasonShed
@@ -185,18 +193,20 @@
 		return placement.Decision{Refusal: &placement.Refusal{
 			Reason: reason, RetryAfter: lovageshift.Millis(reply.RetryAfterMillis), Waited: now - job.Arrived,
 			ExpectedWait: lovageshift.Millis(reply.ExpectedMillis), Ahead: int(reply.Ahead),
-		}}, true
+		}}, nil
+	}
+	grant := placement.Reply{
+		Granted: true, Target: placement.TargetHash(reply.Target), Born: reply.TargetBorn,
+		Running: int(reply.Running), KeepsLimit: reply.KeepsLimit,
 	}
-	hash := placement.TargetHash(reply.Target)
-	slot := c.scheduler.AcquireGranted(now, coordinator, hash, reply.TargetBorn, int(reply.Running), job)
-	if slot == nil {
-		// The coordinator granted a slot at a target that this entry does not know yet, or no longer knows.
+	slot, err := c.scheduler.AcquireGranted(now, coordinator, grant, job)
+	if err != nil {
 		c.end(coordinator, id, placement.Result{})
-		job.Tried = append(job.Tried, hash)
-		return placement.Decision{}, false
+		job.Tried = append(job.Tried, grant.Target)
+		return placement.Decision{}, err
 	}
 	slot.OnRelease = func(result placement.Result) { c.end(coordinator, id, result) }
-	return placement.Decision{Slot: slot}, true
+	return placement.Decision{Slot: slot}, nil
 }
 
 // end sends the coordinator the message that a reservation is over, and how the request with its slot ended.
@@ -282,7 +292,7 @@
 	send := func(reply placement.Reply) {
 		c.peers.Send(from, &wire.EntryPacket{Body: &wire.EntryPacket_Reply{Reply: replyMessage(request.Id, reply)}})
 	}
-	send(c.scheduler.Reserve(now, from, request.Id, group, c.mayAssignCold(group), job, send))
+	send(c.scheduler.Reserve(now, from, request.Id, group, c.roleIn(group), job, send))
 }
 
 func replyMessage(id uint64, reply placement.Reply) *wire.ReserveReply {
@@ -291,7 +301,7 @@
 	case reply.Granted:
 		message.State = wire.ReserveState_RESERVE_STATE_PLACED
 		message.Target, message.TargetBorn = uint32(reply.Target), reply.Born
-		message.Running = uint32(reply.Running)
+		message.Running, message.KeepsLimit = uint32(reply.Running), reply.KeepsLimit
 	case reply.Refusal != nil:
 		message.State = wire.ReserveState_RESERVE_STATE_REFUSED
 		message.RetryAfterMillis = int64(reply.Refusal.RetryAfter)
--- a/reservation/coordinator.go
+++ b/reservation/coordinator.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// How many entries may assign cold targets (see package placement) of a group: its coordinator and its backup.
-	coldCoordinators = 2
 	// How long the order of the entries for a key is kept. Computing it takes a hash for each entry, too much to do for
 	// each request.
 	rankingTTL lovageshift.Millis = 100
@@ -83,11 +81,19 @@
 	return self
 }
 
-// mayAssignCold reports whether this entry may assign the group's cold targets, as its coordinator or backup by the order
-// of rank, avoided entries included. An entry that assigns the group's targets only because those entries are avoided by
-// itself or by others may not: with it, too many entries would assign requests to a cold target.
-func (c *Client) mayAssignCold(group placement.GroupID) bool {
-	return c.AmongFirst(string(group), coldCoordinators)
+// roleIn returns what this entry is to the group by the order of rank, avoided entries included. An entry that assigns the
+// group's targets only because its coordinator and backup are avoided by itself or by others is neither: with it, too many
+// entries would assign requests to a target that is cold or has a limit.
+func (c *Client) roleIn(group placement.GroupID) placement.Role {
+	first := c.First(string(group), 2)
+	switch self := c.peers.Self(); {
+	case first[0] == self:
+		return placement.Coordinator
+	case len(first) > 1 && first[1] == self:
+		return placement.Backup
+	default:
+		return placement.Other
+	}
 }
 
 // AmongFirst reports whether this entry is one of the first count entries responsible for the task, by the order of rank
