Keep crashes for ten minutes, so that blocked parts stay blocked

What callers saw: after 60 s, a request or a part of prompts under which targets crash would have reached targets again, up to three times or more. Cause: entries of the platform forgot suspects after 60 s, and the new register of parts was given the same time, which ends before its first trial. The agents' path keeps suspects for ten minutes. Change: the register of parts has its own time to live, so that no caller can give it one shorter than its trials; suspects are kept as long. Result: TestBlockedPartIsTriedAgain checks that the part is still blocked 66 s after its last crash. With the register as the gateway made it (60 s) it would not be; found by reading, no run showed it.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -52,7 +52,7 @@
 func newCrashes(clock lovageshift.Clock, log *eventlog.Log, inMinority func() bool) *crashes {
 	return &crashes{
 		clock: clock, log: log, inMinority: inMinority, checks: make(chan crashCheck, maxWaitingChecks),
-		parts: quarantine.NewPartRegister(suspectTTL), losses: map[quarantine.CrashID][][]quarantine.Part{},
+		parts: quarantine.NewPartRegister(), losses: map[quarantine.CrashID][][]quarantine.Part{},
 	}
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -14,8 +14,8 @@
 	// A request is refused after it has lost this many connections to targets, before the response header or within a
 	// stream. A complete response through this entry resets this entry's count.
 	crashesToRefuse = 3
-	// How long after its last crash a suspect expires, and after which the crash of a target is forgotten.
-	suspectTTL lovageshift.Millis = 60_000
+	// How long after its last crash a suspect expires.
+	suspectTTL lovageshift.Millis = 600_000
 	// Retry-After of a quarantined request.
 	quarantineRetryAfter lovageshift.Millis = 3000
 	// Most suspects in one state update. If there are more, those updated last are reported.
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -21,6 +21,8 @@
 	answeredSpreadToBlock  lovageshift.Millis = 3000
 	// An answer that goes on for this many milliseconds after its first event is sound.
 	soundAfter lovageshift.Millis = 500
+	// How long a crash counts. It is several times trialMillis, so that a part stays blocked between trials.
+	crashTTL lovageshift.Millis = 600_000
 	// How long after its last crash a blocked part is tried again.
 	trialMillis lovageshift.Millis = 60_000
 	// Limits of the memory of one register.
@@ -79,7 +81,6 @@
 // targets had just begun to answer when they crashed, and no answer to a prompt with that part that began later has
 // gone on. It is not safe for concurrent use; times are milliseconds of one process's clock.
 type PartRegister struct {
-	maxAge lovageshift.Millis
 	// roundMillis is the time in which every other process gets a report, settleMillis how long others have to report
 	// answers before a part is blocked.
 	roundMillis  lovageshift.Millis
@@ -111,14 +112,14 @@
 	return firstEventAt > 0 && now-firstEventAt >= soundAfter
 }
 
-// NewPartRegister returns an empty register, which forgets a crash after maxAge.
-func NewPartRegister(maxAge lovageshift.Millis) *PartRegister {
+// NewPartRegister returns an empty register.
+func NewPartRegister() *PartRegister {
 	answeredAt, err := simplelru.NewLRU[Part, lovageshift.Millis](maxAnsweredParts, nil)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
 	return &PartRegister{
-		maxAge: maxAge, crashes: map[CrashID]*crash{}, answeredAt: answeredAt,
+		crashes: map[CrashID]*crash{}, answeredAt: answeredAt,
 		reportAnswers: map[Part]lovageshift.Millis{}, blocked: map[Part]bool{}, triedAt: map[Part]lovageshift.Millis{},
 	}
 }
@@ -144,7 +145,7 @@
 
 // LearnCrash records a crash that another process has reported.
 func (r *PartRegister) LearnCrash(now lovageshift.Millis, reported Crash) {
-	if reported.Age < 0 || reported.Age >= r.maxAge {
+	if reported.Age < 0 || reported.Age >= crashTTL {
 		return
 	}
 	c := r.crash(now, reported.ID, now-reported.Age)
@@ -277,7 +278,7 @@
 
 // RecordTrial records that a prompt with a blocked part is sent to a target.
 func (r *PartRegister) RecordTrial(now lovageshift.Millis, part Part) {
-	maps.DeleteFunc(r.triedAt, func(_ Part, at lovageshift.Millis) bool { return now-at >= r.maxAge })
+	maps.DeleteFunc(r.triedAt, func(_ Part, at lovageshift.Millis) bool { return now-at >= crashTTL })
 	r.triedAt[part] = now
 }
 
@@ -307,7 +308,7 @@
 	if now < r.evaluateAt {
 		return
 	}
-	r.evaluateAt = now + r.maxAge
+	r.evaluateAt = now + crashTTL
 	clear(r.blocked)
 	explained := map[CrashID]bool{}
 	for _, c := range r.candidates(now) {
@@ -335,11 +336,11 @@
 func (r *PartRegister) candidates(now lovageshift.Millis) []*candidate {
 	byPart := map[Part]*candidate{}
 	for id, c := range r.crashes {
-		if now-c.at >= r.maxAge {
+		if now-c.at >= crashTTL {
 			delete(r.crashes, id)
 			continue
 		}
-		r.evaluateAt = min(r.evaluateAt, c.at+r.maxAge)
+		r.evaluateAt = min(r.evaluateAt, c.at+crashTTL)
 		for part, depth := range c.parts {
 			known := byPart[part]
 			if known == nil {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -110,7 +110,7 @@
 // start starts an incarnation of an entry, which knows nothing of the one before.
 func (s *simulation) start(e *simEntry) {
 	round := updateMillis * lovageshift.Millis((s.entries+updateReceivers-1)/updateReceivers)
-	e.register = quarantine.NewPartRegister(600_000)
+	e.register = quarantine.NewPartRegister()
 	e.register.SetRound(round)
 	e.startedAt, e.faultAt = s.now, s.now
 }
@@ -374,7 +374,7 @@
 
 // TestBlockedPartIsTriedAgain guards against refusing prompts for good after the targets have been repaired.
 func TestBlockedPartIsTriedAgain(t *testing.T) {
-	r := quarantine.NewPartRegister(600_000)
+	r := quarantine.NewPartRegister()
 	r.SetRound(100)
 	parts := []quarantine.Part{1}
 	for number := range 3 {
@@ -386,6 +386,9 @@
 	if _, due := r.DueTrial(50_000, parts); due {
 		t.Fatal("tried too early")
 	}
+	if !r.Blocks(69_000, parts) {
+		t.Fatal("no longer blocked before the trial")
+	}
 	part, due := r.DueTrial(70_000, parts)
 	if !due || part != 1 {
 		t.Fatal("not tried again")
