Report the suspects with most crashes first

What callers saw: nothing yet. A state update names 16 suspects, the newest; all requests at a target that crashes become suspects, so that a request with two crashes was pushed out by the bystanders of the next one. Cause: the order by time alone. Change: most crashes first, then the newest, for both paths.

--- a/agent/watch.go
+++ b/agent/watch.go
@@ -39,7 +39,7 @@
 		load := a.loadMessage()
 		a.mutex.Unlock()
 		newSuspects := a.node.SuspectsChanged()
-		if err := stream.Send(&wire.WatchEvent{Load: load, Suspects: a.node.NewestSuspects()}); err != nil {
+		if err := stream.Send(&wire.WatchEvent{Load: load, Suspects: a.node.ForemostSuspects()}); err != nil {
 			return err
 		}
 		if err := a.awaitUpdate(stream.Context(), changed, newSuspects); err != nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -18,7 +18,7 @@
 	suspectTTL lovageshift.Millis = 600_000
 	// Retry-After of a quarantined request.
 	quarantineRetryAfter lovageshift.Millis = 3000
-	// Most suspects in one state update. If there are more, those updated last are reported.
+	// Most suspects in one state update. If there are more, those with most crashes are reported.
 	maxReportedSuspects = 16
 )
 
@@ -68,7 +68,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var reports []*wire.Suspect
-	for _, suspect := range s.register.Newest(now, maxReportedSuspects) {
+	for _, suspect := range s.register.Foremost(now, maxReportedSuspects) {
 		reports = append(reports, &wire.Suspect{
 			Fingerprint: uint64(suspect.Fingerprint), Crashes: int32(suspect.Crashes), AgeMillis: int64(suspect.Age),
 		})
--- a/peer/node.go
+++ b/peer/node.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	maxReportedSuspects = 8  // most suspects that NewestSuspects returns for one message
+	maxReportedSuspects = 8  // most suspects that ForemostSuspects returns for one message
 	maxQueuedFetches    = 16 // most peers in the queue of fetches
 )
 
--- a/peer/suspects.go
+++ b/peer/suspects.go
@@ -80,13 +80,13 @@
 	n.suspects.Clear(fingerprint)
 }
 
-// NewestSuspects returns the suspects to report to other processes: at most 8 (maxReportedSuspects), the most recently
-// updated first.
-func (n *Node) NewestSuspects() []*wire.Suspect {
+// ForemostSuspects returns the suspects to report to other processes: at most 8 (maxReportedSuspects), those with most
+// crashes first.
+func (n *Node) ForemostSuspects() []*wire.Suspect {
 	n.suspectMutex.Lock()
 	defer n.suspectMutex.Unlock()
 	var messages []*wire.Suspect
-	for _, suspect := range n.suspects.Newest(n.Now(), maxReportedSuspects) {
+	for _, suspect := range n.suspects.Foremost(n.Now(), maxReportedSuspects) {
 		messages = append(messages, &wire.Suspect{
 			Fingerprint: uint64(suspect.Fingerprint),
 			Crashes:     int32(suspect.Crashes),
--- a/peer/sync.go
+++ b/peer/sync.go
@@ -178,7 +178,7 @@
 	defer cancel()
 	requestedAt := n.Now()
 	request := &wire.ExchangeRequest{
-		Process: n.ID, Incarnation: int64(n.Incarnation), Stamp: n.Stamp(), Suspects: n.NewestSuspects(),
+		Process: n.ID, Incarnation: int64(n.Incarnation), Stamp: n.Stamp(), Suspects: n.ForemostSuspects(),
 	}
 	reply, err := link.Call(ctx, n.Pool, peer.Address, func(ctx context.Context, conn *drpcconn.Conn) (*wire.ExchangeReply, error) {
 		return wire.NewDRPCPeerClient(conn).Exchange(ctx, request)
@@ -289,7 +289,7 @@
 	n.LearnSuspects(request.Suspects)
 	n.ObserveStamp(n.addressOf(request.Process), request.Stamp, n.Now())
 	return &wire.ExchangeReply{
-		Process: n.ID, Incarnation: int64(n.Incarnation), Stamp: n.Stamp(), Suspects: n.NewestSuspects(),
+		Process: n.ID, Incarnation: int64(n.Incarnation), Stamp: n.Stamp(), Suspects: n.ForemostSuspects(),
 	}, nil
 }
 
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 
 	"lovageshift"
 )
@@ -116,15 +118,17 @@
 	}
 }
 
-// Newest returns up to count suspects, the most recently updated first, to be reported to other processes.
-func (r *Register) Newest(now lovageshift.Millis, count int) []Suspect {
+// Foremost returns up to count suspects to be reported to other processes: those with most crashes first, and of these the
+// most recently updated. All requests at a target that crashes become suspects; few of them do so again.
+func (r *Register) Foremost(now lovageshift.Millis, count int) []Suspect {
 	r.expire(now)
 	var suspects []Suspect
-	for element := r.byUpdate.Back(); element != nil && len(suspects) < count; element = element.Prev() {
+	for element := r.byUpdate.Back(); element != nil; element = element.Prev() {
 		known := element.Value.(*record)
 		suspects = append(suspects, Suspect{known.fingerprint, known.crashes, now - known.crashedAt})
 	}
-	return suspects
+	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(b.Crashes, a.Crashes) })
+	return suspects[:min(len(suspects), count)]
 }
 
 // expire removes all suspects that have reached the maximum age. It checks each one, because a suspect updated later
