Tell a crashed target from the proxy before it

What callers saw: nothing yet; found while the soak, whose connections all pass proxies, was given fatal prompt parts: crashes were logged as running targets. Cause: a target counted as running if a new connection to it was accepted. A proxy accepts it for a target that has crashed, and then closes it. Change: the connection must also stay open for 0.1 s.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 const (
 	// How long a target may take to accept a connection after one to it was lost. If it does not, it has crashed.
 	crashCheckTimeout = 500 * time.Millisecond
+	// How long the new connection must stay open. A proxy may accept it in place of the target, but then closes it.
+	crashCheckOpenTime = 100 * time.Millisecond
 	// Most checks of targets at once, and most that wait.
 	maxCrashChecks    = 32
 	maxWaitingChecks  = 256
@@ -66,22 +70,26 @@
 			return group.Wait()
 		case check := <-c.checks:
 			group.Go(func() error {
-				c.finish(check, acceptsConnections(ctx, check.address))
+				c.finish(check, isRunning(ctx, check.address))
 				return nil
 			})
 		}
 	}
 }
 
-// acceptsConnections reports whether a new connection to the address is established in time.
-func acceptsConnections(ctx context.Context, address string) bool {
+// isRunning reports whether a new connection to the target at the address is established in time and stays open.
+func isRunning(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: crashCheckTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	return true
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(crashCheckOpenTime)); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // lost records that the connection of a request to its target was lost. If the target had answered it for long enough, that
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -31,51 +31,69 @@
 // TestPromptPartThatCrashesTargets guards against a prompt part that keeps crashing targets, in requests that differ otherwise.
 func TestPromptPartThatCrashesTargets(t *testing.T) {
 	Convey("Requests with a part that crashed five targets no longer reach targets, and the other ones do", t, func() {
-		i := newInstallation(3, 8, func(r *http.Request) bool {
-			return strings.Contains(r.Header.Get(standin.HeaderPromptParts), crashingPart)
+		testFatalPart(false)
+	})
+}
+
+// TestPromptPartThatCrashesTargetsBehindProxies guards against taking a proxy for the target that has crashed behind it.
+func TestPromptPartThatCrashesTargetsBehindProxies(t *testing.T) {
+	Convey("The same holds if a proxy accepts connections for a target that has crashed", t, func() {
+		testFatalPart(true)
+	})
+}
+
+func testFatalPart(proxied bool) {
+	i := newInstallation(3, 8, proxied, func(r *http.Request) bool {
+		return strings.Contains(r.Header.Get(standin.HeaderPromptParts), crashingPart)
+	})
+	defer i.stop()
+	var number, sound, answered atomic.Int64
+	send := func(prefix, middle string) standin.Reply {
+		n := number.Add(1)
+		return i.send(int(n), standin.CallerRequest{
+			ID: fmt.Sprintf("%s-%d", prefix, n), Path: "/chat/x", Body: fmt.Sprint(n), PromptParts: partsWith(middle, n),
 		})
-		defer i.stop()
-		var number, sound, answered atomic.Int64
-		var callers errgroup.Group
-		end := time.Now().Add(7 * time.Second)
-		for range 2 {
-			callers.Go(func() error {
-				for time.Now().Before(end) {
-					n := number.Add(1)
-					i.send(int(n), standin.CallerRequest{ID: fmt.Sprintf("bad-%d", n), Path: "/chat/x", Body: fmt.Sprint(n), PromptParts: partsWith(crashingPart, n)})
-					time.Sleep(150 * time.Millisecond)
-				}
-				return nil
-			})
-		}
-		for range 4 {
-			callers.Go(func() error {
-				for time.Now().Before(end) {
-					n := number.Add(1)
-					reply := i.send(int(n), standin.CallerRequest{ID: fmt.Sprintf("sound-%d", n), Path: "/chat/x", Body: fmt.Sprint(n), PromptParts: partsWith(fmt.Sprintf("%x", 100+n%20), n)})
-					if time.Now().After(end.Add(-time.Second)) {
-						sound.Add(1)
-						if reply.Complete && reply.Status == http.StatusOK {
-							answered.Add(1)
-						}
+	}
+	var callers errgroup.Group
+	end := time.Now().Add(7 * time.Second)
+	for range 2 {
+		callers.Go(func() error {
+			for time.Now().Before(end) {
+				send("bad", crashingPart)
+				time.Sleep(150 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	for caller := range 4 {
+		callers.Go(func() error {
+			for count := caller; time.Now().Before(end); count += 4 {
+				reply := send("sound", fmt.Sprintf("%x", 100+count%20))
+				if time.Now().After(end.Add(-time.Second)) {
+					sound.Add(1)
+					if reply.Complete && reply.Status == http.StatusOK {
+						answered.Add(1)
 					}
-					time.Sleep(20 * time.Millisecond)
-				}
-				return nil
-			})
-		}
-		_ = callers.Wait()
-		crashes := i.crashes()
-		slices.SortFunc(crashes, time.Time.Compare)
-		late := 0
-		if len(crashes) >= 5 {
-			for _, request := range i.received() {
-				if strings.Contains(request.PromptParts, crashingPart) && request.ReceivedAt.After(crashes[4].Add(contactTime)) {
-					late++
 				}
+				time.Sleep(20 * time.Millisecond)
 			}
+			return nil
+		})
+	}
+	_ = callers.Wait()
+	So(i.lateRequests(), ShouldBeLessThanOrEqualTo, maxLateRequests)
+	So(answered.Load(), ShouldBeGreaterThan, sound.Load()*9/10)
+}
+
+// lateRequests returns how many requests with the crashing part reached targets later than contactTime after the fifth crash.
+func (i *installation) lateRequests() int {
+	crashes := i.crashes()
+	slices.SortFunc(crashes, time.Time.Compare)
+	late := 0
+	for _, request := range i.received() {
+		if len(crashes) >= 5 && strings.Contains(request.PromptParts, crashingPart) && request.ReceivedAt.After(crashes[4].Add(contactTime)) {
+			late++
 		}
-		So(late, ShouldBeLessThanOrEqualTo, maxLateRequests)
-		So(answered.Load(), ShouldBeGreaterThan, sound.Load()*9/10)
-	})
+	}
+	return late
 }
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,6 +37,7 @@
 type host struct {
 	store   *standin.Store
 	address string
+	proxy   net.Listener // nil unless a proxy forwards to the address
 	replica *standin.Replica
 	down    time.Duration // time between a crash and the next start
 	crashed chan struct{}
@@ -45,16 +48,20 @@
 }
 
 // newInstallation starts the entries and the targets, each with 4 slots and streams of some events, and waits until the
-// entries are ready and know of each other. The function crashes reports whether a request crashes its target.
-func newInstallation(entries, targets int, crashes func(*http.Request) bool) *installation {
+// entries are ready and know of each other. The function crashes reports whether a request crashes its target. If proxied
+// is set, a proxy accepts connections to a target also while the target is down.
+func newInstallation(entries, targets int, proxied bool, crashes func(*http.Request) bool) *installation {
 	i := &installation{store: standin.NewStore()}
 	i.server = httptest.NewServer(i.store)
 	i.store.Put(standin.ConfigKey, configuration(2, 1e6, key))
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	for number := range targets {
-		h := newHost(i.store, number, crashes)
+		h := newHost(i.store, number, proxied, crashes)
 		i.hosts = append(i.hosts, h)
+		if proxied {
+			i.group.Go(func() error { return h.runProxy(ctx) })
+		}
 		i.group.Go(func() error { return h.run(ctx) })
 	}
 	for number := range entries {
@@ -135,11 +142,15 @@
 	return all
 }
 
-func newHost(store *standin.Store, number int, crashes func(*http.Request) bool) *host {
+func newHost(store *standin.Store, number int, proxied bool, crashes func(*http.Request) bool) *host {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	h := &host{store: store, address: listener.Addr().String(), down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
 	So(listener.Close(), ShouldBeNil)
+	if proxied {
+		h.proxy, err = net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+	}
 	h.replica = &standin.Replica{
 		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: 4, EventCount: 4, EventInterval: 10 * time.Millisecond,
 		CrashesOn: crashes,
@@ -183,5 +194,46 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.born++
-	h.store.Put(h.replica.Key(), h.replica.Record(standin.Registration{Address: h.address, Zone: "zone-a", Born: h.born, Sequence: 1}))
+	address := h.address
+	if h.proxy != nil {
+		address = h.proxy.Addr().String()
+	}
+	h.store.Put(h.replica.Key(), h.replica.Record(standin.Registration{Address: address, Zone: "zone-a", Born: h.born, Sequence: 1}))
+}
+
+// runProxy forwards connections to the host's address until the context ends. It accepts one before it knows whether a
+// target listens there.
+func (h *host) runProxy(ctx context.Context) error {
+	var group errgroup.Group
+	stop := context.AfterFunc(ctx, func() { _ = h.proxy.Close() })
+	defer stop()
+	for {
+		from, err := h.proxy.Accept()
+		if err != nil {
+			return group.Wait()
+		}
+		group.Go(func() error {
+			defer func() { _ = from.Close() }()
+			to, err := net.Dial("tcp", h.address)
+			if err != nil {
+				return nil
+			}
+			stop := context.AfterFunc(ctx, func() { _ = from.Close() })
+			defer stop()
+			forward(from, to)
+			return nil
+		})
+	}
+}
+
+// forward copies in both directions until one of the connections ends, and then closes both.
+func forward(from, to net.Conn) {
+	var group errgroup.Group
+	for _, pair := range [][2]net.Conn{{from, to}, {to, from}} {
+		group.Go(func() error {
+			_, _ = io.Copy(pair[1], pair[0])
+			return errors.Join(from.Close(), to.Close())
+		})
+	}
+	_ = group.Wait()
 }
