Soak: prompt parts that crash targets, and targets that name limits

Change: two kinds of fault and two invariants, each with a test of its check; callers send prompts that share parts. The new kinds are drawn apart, so that the other faults of earlier seeds stay.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -22,6 +22,11 @@
 	// Tokens that each request declares.
 	promptTokens = 20
 	outputTokens = 10
+	// The first part of all prompts, and the number of parts that follow it in those that crash no target. fatalPart begins
+	// the ID of a part that crashes them.
+	sharedPart   = "f:5"
+	promptThemes = 40
+	fatalPart    = "fatal"
 	// A caller stops waiting for a response this long after the deadline that the request declares.
 	timeoutMargin = 2500 * time.Millisecond
 	// A caller abandons one request in abandonOneIn, abandonAfter it was sent.
@@ -154,6 +159,9 @@
 		ID: id, Host: routeHost, Method: http.MethodPost, Path: prefix + id + "?q=" + id, Body: "body of " + id,
 		TimeoutMillis: routeMillis, PromptTokens: promptTokens, OutputTokens: outputTokens,
 	}
+	if prefix == "/chat/" || prefix == "/resume/" {
+		request.PromptParts = fmt.Sprintf("%s,%d:5,%s:5", sharedPart, c.random.IntN(promptThemes), id)
+	}
 	if prefix == "/read/" {
 		request.Method, request.Body = http.MethodGet, ""
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,8 @@
 	QuotaEnforced        Invariant = "an account uses no more than its quota"
 	RetriesBounded       Invariant = "repeated arrivals stay within the retry budget"
 	FatalRequestsStopped Invariant = "a request that crashes targets is stopped"
+	FatalPartsStopped    Invariant = "requests with a part of their prompts that crashes targets are stopped"
+	TargetLimitsKept     Invariant = "a target receives no more requests than the limit that it names"
 	NoLossOnStopOrReload Invariant = "a stop or a reload loses no dispatched request"
 	AnsweredByDeadline   Invariant = "requests are answered by the deadline of their route"
 	ValidNotDenied       Invariant = "valid requests are not denied"
@@ -78,6 +80,14 @@
 	// these, or while bounds of time do not apply, are not counted. Of the others, fatalSlack are allowed.
 	fatalCrashes = 3
 	fatalSlack   = 3
+	// The same for a part of prompts.
+	fatalPartCrashes = 5
+	// Requests that a target may receive in limitWindow, from settleMillis after it named limitPerSecond: limitOvershoot times
+	// what the limit allows, plus the slack.
+	limitWindow    lovageshift.Millis = 4000
+	limitPerSecond                    = 2
+	limitOvershoot                    = 1.5
+	limitSlack                        = 5
 	// Denials of valid requests allowed: the slack, plus one in deniedOneIn requests.
 	deniedSlack = 5
 	deniedOneIn = 500
@@ -101,7 +111,7 @@
 	for _, check := range []func(){
 		c.checkExits, c.checkAtMostOnce, c.checkRefusals, c.checkRequests, c.checkResponses, c.checkStreams,
 		c.checkKeys, c.checkZones, c.checkDraining, c.checkColdRate, c.checkQuota, c.checkRetryBudget,
-		c.checkFatalRequests, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
+		c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
 	} {
 		check()
 	}
@@ -378,29 +388,76 @@
 	return count
 }
 
-// checkFatalRequests counts, for each fatal request, the executions more than settleMillis after its execution number
-// fatalCrashes, as far as bounds of time apply. Each execution crashes a target. Repeats of a fatal request share a
-// path and differ in their ids.
+// checkFatalRequests checks the requests that crash targets. Repeats share a path and differ in their ids.
 func (c *checker) checkFatalRequests() {
-	crashes := map[string][]Arrival{}
+	c.checkFatal(FatalRequestsStopped, fatalCrashes, func(arrival Arrival) string {
+		path, _, _ := strings.Cut(arrival.URI, "?")
+		if !strings.HasPrefix(path, fatalPrefix) {
+			return ""
+		}
+		return path
+	})
+}
+
+// checkFatalParts checks the requests with a part of their prompts that crashes targets.
+func (c *checker) checkFatalParts() {
+	c.checkFatal(FatalPartsStopped, fatalPartCrashes, func(arrival Arrival) string {
+		for part := range strings.SplitSeq(arrival.PromptParts, ",") {
+			if strings.HasPrefix(part, fatalPart) {
+				return part
+			}
+		}
+		return ""
+	})
+}
+
+// checkFatal counts the executions of requests with the same cause of crashes, "" for none, more than settleMillis after
+// execution number crashes, as far as bounds of time apply. Each execution crashes a target.
+func (c *checker) checkFatal(invariant Invariant, crashes int, causeOf func(Arrival) string) {
+	byCause := map[string][]Arrival{}
 	for _, arrival := range c.Arrivals {
-		if path, _, _ := strings.Cut(arrival.URI, "?"); strings.HasPrefix(path, fatalPrefix) && arrival.Executed {
-			crashes[path] = append(crashes[path], arrival)
+		if cause := causeOf(arrival); cause != "" && arrival.Executed {
+			byCause[cause] = append(byCause[cause], arrival)
 		}
 	}
-	for path, arrivals := range crashes {
-		if len(arrivals) < fatalCrashes {
+	for cause, arrivals := range byCause {
+		if len(arrivals) < crashes {
 			continue
 		}
 		excess := 0
-		for _, arrival := range arrivals[fatalCrashes:] {
-			if arrival.At > arrivals[fatalCrashes-1].At+settleMillis && c.boundsApply(arrival) {
+		for _, arrival := range arrivals[crashes:] {
+			if arrival.At > arrivals[crashes-1].At+settleMillis && c.boundsApply(arrival) {
 				excess++
 			}
 		}
 		if excess > fatalSlack {
-			c.add(FatalRequestsStopped, "%s ran %d more times after it had crashed targets %d times",
-				path, excess, fatalCrashes)
+			c.add(invariant, "%s: %d more executions after targets had crashed %d times", cause, excess, crashes)
+		}
+	}
+}
+
+// checkLimits counts arrivals at a target that names a limit, as far as bounds of time apply, in the window that begins at
+// each arrival.
+func (c *checker) checkLimits() {
+	byTarget := map[string][]Arrival{}
+	for _, arrival := range c.Arrivals {
+		if arrival.LimitedSince > 0 && arrival.At >= arrival.LimitedSince+settleMillis && c.boundsApply(arrival) {
+			byTarget[arrival.Target] = append(byTarget[arrival.Target], arrival)
+		}
+	}
+	allowed := int(limitOvershoot*limitPerSecond*limitWindow.Seconds()) + limitSlack
+	for target, arrivals := range byTarget {
+		for i, first := range arrivals {
+			count := 0
+			for _, arrival := range arrivals[i:] {
+				if arrival.At < first.At+limitWindow && arrival.At < arrival.LimitedSince+limitedMillis {
+					count++
+				}
+			}
+			if count > allowed {
+				c.add(TargetLimitsKept, "%s received %d requests in %d ms from %d ms, %d allowed", target, count, limitWindow, first.At, allowed)
+				break
+			}
 		}
 	}
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -143,6 +143,22 @@
 		So(violated(manyRequests("/fatal/", 6, 1000, fatal)), ShouldBeEmpty)
 		So(violated(manyRequests("/fatal/", 14, 1000, fatal)), ShouldContain, soak.FatalRequestsStopped)
 	})
+	Convey("Requests with a part of their prompts that continues to crash targets are a violation", t, func() {
+		fatal := func(_ *soak.Attempt, r *soak.Arrival) { r.PromptParts = "f:5,fatal1:5," + r.ID + ":5" }
+		So(violated(manyRequests("/chat/", 8, 1000, fatal)), ShouldBeEmpty)
+		So(violated(manyRequests("/chat/", 16, 1000, fatal)), ShouldContain, soak.FatalPartsStopped)
+		sound := func(_ *soak.Attempt, r *soak.Arrival) { r.PromptParts = "f:5,7:5," + r.ID + ":5" }
+		So(violated(manyRequests("/chat/", 16, 1000, sound)), ShouldBeEmpty)
+	})
+	Convey("More arrivals than the limit that a target names are a violation, once the limit is known and while it is named", t, func() {
+		limited := func(_ *soak.Attempt, r *soak.Arrival) { r.LimitedSince = 8000 }
+		So(violated(manyRequests("/read/", 40, 300, limited)), ShouldBeEmpty)
+		So(violated(manyRequests("/read/", 40, 200, limited)), ShouldContain, soak.TargetLimitsKept)
+		later := func(_ *soak.Attempt, r *soak.Arrival) { r.LimitedSince = 16_500 }
+		So(violated(manyRequests("/read/", 40, 200, later)), ShouldBeEmpty)
+		earlier := func(_ *soak.Attempt, r *soak.Arrival) { r.LimitedSince = 1000 }
+		So(violated(manyRequests("/read/", 40, 200, earlier)), ShouldBeEmpty)
+	})
 	Convey("Many late responses violate an invariant, and so do many denials", t, func() {
 		So(violated(manyRequests("/read/", 20, 20, func(a *soak.Attempt, _ *soak.Arrival) { a.Ended = a.Sent + 4000 })),
 			ShouldContain, soak.AnsweredByDeadline)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -17,6 +17,8 @@
 	recordPauseMillis = recordTTL + 500
 	// Time between the response to a fatal request and the next repeat.
 	fatalInterval = 400 * time.Millisecond
+	// How long a target names a limit beyond the length of the fault: the time after which bounds apply and a window.
+	limitedMillis = settleMillis + limitWindow
 	// Interval of checks whether a process has exited or an entry is in rotation.
 	pollInterval = 20 * time.Millisecond
 )
@@ -91,6 +93,8 @@
 		r.testbed.setZoneOut(zone, false)
 	case FatalRequest:
 		r.sendFatalRequests(ctx, fault)
+	case FatalPart:
+		r.sendFatalPart(ctx, fault)
 	default:
 		r.injectTargetFault(ctx, fault, host, wait)
 	}
@@ -123,6 +127,10 @@
 		host.setRecordPaused(true)
 		lovageshift.Pause(ctx, recordPauseMillis.Duration())
 		host.setRecordPaused(false)
+	case TargetLimited:
+		host.update(func(i *instance) { i.name(r.clock.Now()) })
+		lovageshift.Pause(ctx, (limitedMillis + fault.Length).Duration())
+		host.update(func(i *instance) { i.replica.SetLimit("") })
 	case TargetCold:
 		host.update(func(i *instance) { i.resetToCold(r.clock.Now()) })
 		r.testbed.writeRecord(host)
@@ -211,10 +219,31 @@
 		Key: "stable-key", TimeoutMillis: routeMillis, PromptTokens: promptTokens, OutputTokens: outputTokens,
 	}
 	end := r.clock.Now() + fault.Length + settleMillis
+	r.repeat(ctx, c, end, func() standin.CallerRequest { return request })
+}
+
+// repeat sends one request after the other until the end, each with a new id and to the next entry in rotation.
+func (r *run) repeat(ctx context.Context, c *caller, end lovageshift.Millis, next func() standin.CallerRequest) {
 	for ctx.Err() == nil && r.clock.Now() < end {
+		request := next()
 		request.ID = c.nextID()
 		c.send(ctx, request, stableAccount)
 		c.switchEntry()
 		lovageshift.Pause(ctx, fatalInterval)
 	}
 }
+
+// sendFatalPart sends requests that share a part of their prompts, which crashes every target that runs them, and differ
+// otherwise, for the length of the fault plus twice settleMillis.
+func (r *run) sendFatalPart(ctx context.Context, fault Fault) {
+	c := newCaller(len(r.entries)+r.options.Callers+fault.Variant, ^r.options.Seed, r.testbed, r.entries, &r.attempts)
+	count := 0
+	r.repeat(ctx, c, r.clock.Now()+fault.Length+2*settleMillis, func() standin.CallerRequest {
+		count++
+		return standin.CallerRequest{
+			Host: routeHost, Method: http.MethodPost, Path: fmt.Sprintf("/chat/%d", count), Body: fmt.Sprint(count),
+			Key: "stable-key", TimeoutMillis: routeMillis, PromptTokens: promptTokens, OutputTokens: outputTokens,
+			PromptParts: fmt.Sprintf("%s,%s%d:5,%d:5", sharedPart, fatalPart, fault.Variant, count),
+		}
+	})
+}
--- a/soak/history.go
+++ b/soak/history.go
@@ -23,6 +23,8 @@
 	Cold bool
 	// DrainingSince is when the target began to drain, 0 if it was not draining when the request arrived.
 	DrainingSince lovageshift.Millis
+	// LimitedSince is when the target began to name a limit, 0 if it had not when the request arrived.
+	LimitedSince lovageshift.Millis
 	// ColdAgainAt is when the target, already running, was reset to cold, which entries learn only from the store. It is
 	// 0 if the target was not cold or had been cold since its start.
 	ColdAgainAt lovageshift.Millis
@@ -125,6 +127,9 @@
 				if i.drainingSince > 0 && at >= i.drainingSince {
 					arrival.DrainingSince = i.drainingSince
 				}
+				if i.limitedSince > 0 && at >= i.limitedSince {
+					arrival.LimitedSince = i.limitedSince
+				}
 				all = append(all, arrival)
 			}
 		}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -70,6 +70,10 @@
 
 	// FatalRequest makes a caller repeat a request that crashes every target that runs it.
 	FatalRequest Kind = "fatalRequest"
+	// FatalPart makes a caller send requests that share a part of their prompts, which crashes every target that runs them.
+	FatalPart Kind = "fatalPart"
+	// TargetLimited makes a target name a limit in its answers, for the length of the fault and limitedMillis.
+	TargetLimited Kind = "targetLimited"
 )
 
 var allKinds = []Kind{
@@ -79,6 +83,9 @@
 	StoreForgets, KeyWithdrawn, QuotaLowered, ZoneOut, FatalRequest,
 }
 
+// laterKinds are drawn apart from allKinds, so that the other faults of seeds from before stay the same.
+var laterKinds = []Kind{FatalPart, TargetLimited}
+
 // Fault is one planned fault. Actions of the operator and fatal requests count as faults.
 type Fault struct {
 	Kind Kind
@@ -114,24 +121,43 @@
 // NewPlan returns the faults of a seed, ordered by start. All of them start before the end of the window, which is in
 // milliseconds from the start of traffic.
 func NewPlan(seed uint64, window lovageshift.Millis) []Fault {
-	random := rand.New(rand.NewPCG(seed, seed))
+	faults := append(drawFaults(rand.New(rand.NewPCG(seed, seed)), window), drawLaterFaults(rand.New(rand.NewPCG(seed, ^seed)), window)...)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Start < faults[j].Start })
+	return faults
+}
+
+// drawLaterFaults returns a fault of each of the laterKinds for about half of the seeds.
+func drawLaterFaults(random *rand.Rand, window lovageshift.Millis) []Fault {
+	var faults []Fault
+	for _, kind := range laterKinds {
+		if random.IntN(2) == 0 {
+			faults = append(faults, drawFault(random, kind, window))
+		}
+	}
+	return faults
+}
+
+func drawFault(random *rand.Rand, kind Kind, window lovageshift.Millis) Fault {
+	return Fault{
+		Kind:    kind,
+		Start:   firstFaultMillis + lovageshift.Millis(random.Int64N(int64(window-firstFaultMillis))),
+		Length:  faultMinMillis + lovageshift.Millis(random.Int64N(int64(faultMaxMillis-faultMinMillis))),
+		Subject: random.IntN(choiceCount),
+		Variant: random.IntN(choiceCount),
+	}
+}
+
+func drawFaults(random *rand.Rand, window lovageshift.Millis) []Fault {
 	maxFaults := fewFaults
 	if random.IntN(2) == 0 {
 		maxFaults = manyFaults
 	}
 	faults := make([]Fault, 1+random.IntN(maxFaults))
 	for i := range faults {
-		faults[i] = Fault{
-			Kind:    allKinds[random.IntN(len(allKinds))],
-			Start:   firstFaultMillis + lovageshift.Millis(random.Int64N(int64(window-firstFaultMillis))),
-			Length:  faultMinMillis + lovageshift.Millis(random.Int64N(int64(faultMaxMillis-faultMinMillis))),
-			Subject: random.IntN(choiceCount),
-			Variant: random.IntN(choiceCount),
-		}
+		faults[i] = drawFault(random, allKinds[random.IntN(len(allKinds))], window)
 		if i > 0 && random.IntN(repeatOneIn) == 0 {
 			faults[i].Kind = faults[i-1].Kind
 		}
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Start < faults[j].Start })
 	return faults
 }
--- a/soak/target.go
+++ b/soak/target.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,8 +45,10 @@
 	startedAt lovageshift.Millis // wall time, unlike the other times, which are on the clock of the run
 	// drainingSince is when the target began to drain, 0 if it does not drain.
 	drainingSince lovageshift.Millis
-	coldSpans     []coldSpan
-	sequence      int64 // sequence number of the target's latest record
+	// limitedSince is when the target last began to name a limit, 0 if it never did.
+	limitedSince lovageshift.Millis
+	coldSpans    []coldSpan
+	sequence     int64 // sequence number of the target's latest record
 }
 
 // coldAt reports whether the target was cold at a time. It also returns when the running target was reset to cold, or 0
@@ -67,6 +70,12 @@
 	i.coldSpans = append(i.coldSpans, coldSpan{Span: Span{now, now + coldMillis}, AfterReset: true})
 }
 
+// name makes the running target name its limit from now on.
+func (i *instance) name(now lovageshift.Millis) {
+	i.limitedSince = now
+	i.replica.SetLimit(strconv.Itoa(limitPerSecond))
+}
+
 // coldSpan is a period in which a target is cold. AfterReset is set if the period began with a reset of the running
 // target (resetToCold), and not with its start.
 type coldSpan struct {
@@ -108,7 +117,9 @@
 	}
 	replica := &standin.Replica{
 		ID: id, Service: h.service, Slots: targetSlots, ServiceTime: workTime,
-		CrashesOn: func(r *http.Request) bool { return strings.HasPrefix(r.RequestURI, fatalPrefix) },
+		CrashesOn: func(r *http.Request) bool {
+			return strings.HasPrefix(r.RequestURI, fatalPrefix) || strings.Contains(r.Header.Get(standin.HeaderPromptParts), fatalPart)
+		},
 	}
 	if h.service == streamService {
 		replica.EventCount, replica.EventInterval = streamEvents, workTime
