Take the end of an open-ended answer for a crash only if the target is gone

What callers saw: nothing yet. Cause: such an end cleared nothing and counted for nothing, so that crashes were not seen, and parts that only such answers share were never known to be sound. Change: the target is checked after such an end; if it runs, the answer counts as sound, else as crash. A stream that ends so before any event is broken off. Connections that end while a check is under way are checked again. The tests of several entries now take a free port: two runs at once could not share the fixed one.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/gravitational/trace"
+
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/placement"
@@ -47,7 +49,7 @@
 		return attemptResult{done: true}
 	}
 	g.scheduler.Release(g.clock.Now(), slot, placement.Result{FirstEvent: r.summary.firstByte, Outcome: outcome})
-	r.recordAnswer(response)
+	r.recordAnswer(slot, response)
 	if !success && response.Status >= http.StatusInternalServerError {
 		failed := attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineFailed, "status "+strconv.Itoa(response.Status))}
 		if r.startRetry(ctx, failed) {
@@ -70,7 +72,7 @@
 	}
 	switch {
 	case err == nil:
-		r.recordAnswer(response)
+		r.recordAnswer(slot, response)
 	case errors.Is(err, upstream.ErrConnectionLost), errors.Is(err, upstream.ErrInvalidResponse):
 		outcome = r.bodyErrorOutcome(ctx, err)
 		if ctx.Err() == nil {
@@ -152,6 +154,9 @@
 	flusher, _ := r.w.(http.Flusher)
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && r.summary.events == 0 && response.EndsWithConnection() {
+			err = trace.Wrap(upstream.ErrConnectionLost, "no event before the end of the connection")
+		}
 		stall.received(event)
 		switch {
 		case err == nil:
@@ -159,7 +164,7 @@
 			if !r.headerSent {
 				r.writeHeader(response, -1)
 			}
-			r.recordAnswer(response)
+			r.recordAnswer(slot, response)
 			g.outputs.add(r.route.ID, r.summary.events*r.tokensPerEvent)
 			g.scheduler.Release(g.clock.Now(), slot, placement.Result{
 				FirstEvent: r.summary.firstEvent, TokenMicros: r.tokenMicros(), Outcome: placement.Served,
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -24,12 +24,12 @@
 	// How long the new connection must stay open. A proxy may accept it in place of the target, but then closes it.
 	crashCheckOpenTime = 100 * time.Millisecond
 	// Most checks of targets at once, and most that wait.
-	maxCrashChecks    = 32
-	maxWaitingChecks  = 256
-	maxLossesPerCheck = 64
+	maxCrashChecks   = 32
+	maxWaitingChecks = 256
+	maxEndsPerCheck  = 64
 )
 
-// crashes finds out which lost connections are crashes of targets, and keeps the parts of prompts under which targets
+// crashes finds out which ended connections are crashes of targets, and keeps the parts of prompts under which targets
 // crash.
 type crashes struct {
 	clock lovageshift.Clock
@@ -40,8 +40,8 @@
 
 	mutex sync.Mutex
 	parts *quarantine.PartRegister
-	// losses holds the parts of the prompts whose connections to a target were lost, while that target is checked.
-	losses map[quarantine.CrashID][][]quarantine.Part
+	// ends holds the connections to a target that have ended, while that target is checked.
+	ends map[quarantine.CrashID][]connectionEnd
 	// lastBlocked are the blocked parts as last logged.
 	lastBlocked []quarantine.Part
 }
@@ -53,14 +53,23 @@
 	address string
 }
 
+// connectionEnd is the end of a connection that a request had to its target.
+type connectionEnd struct {
+	parts        []quarantine.Part  // of the request's prompt
+	firstEventAt lovageshift.Millis // when the target sent the first event, 0 if it sent none
+	// complete is set if the answer may be complete, as only the end of the connection shows its end.
+	complete bool
+	at       lovageshift.Millis
+}
+
 func newCrashes(clock lovageshift.Clock, log *eventlog.Log, inMinority func() bool) *crashes {
 	return &crashes{
 		clock: clock, log: log, inMinority: inMinority, checks: make(chan crashCheck, maxWaitingChecks),
-		parts: quarantine.NewPartRegister(), losses: map[quarantine.CrashID][][]quarantine.Part{},
+		parts: quarantine.NewPartRegister(), ends: map[quarantine.CrashID][]connectionEnd{},
 	}
 }
 
-// run checks targets to which connections were lost, until the context ends.
+// run checks targets to which connections have ended, until the context ends.
 func (c *crashes) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxCrashChecks)
@@ -70,7 +79,8 @@
 			return group.Wait()
 		case check := <-c.checks:
 			group.Go(func() error {
-				c.finish(check, isRunning(ctx, check.address))
+				began := c.clock.Now()
+				c.finish(check, began, isRunning(ctx, check.address))
 				return nil
 			})
 		}
@@ -92,49 +102,61 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// lost records that the connection of a request to its target was lost. If the target had answered it for long enough, that
-// shows the request's prompt to be sound; otherwise the prompt is recorded if the target turns out to have crashed.
-func (c *crashes) lost(slot *placement.Slot, parts []quarantine.Part, firstEventAt lovageshift.Millis) {
-	if len(parts) == 0 {
+// recordEnd records that the connection of a request to its target has ended, with the answer or in it. If the target had
+// answered for long enough, that shows the request's prompt to be sound; otherwise the target is checked.
+func (c *crashes) recordEnd(slot *placement.Slot, end connectionEnd) {
+	if len(end.parts) == 0 {
 		return
 	}
-	now := c.clock.Now()
+	end.at = c.clock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if quarantine.Sound(now, firstEventAt) {
-		c.parts.RecordAnswer(now, parts, firstEventAt)
+	if quarantine.Sound(end.at, end.firstEventAt) {
+		c.parts.RecordAnswer(end.at, end.parts, end.firstEventAt)
 		return
 	}
-	id := quarantine.CrashOf(slot.Target.ID, slot.Target.Born)
-	waiting, checking := c.losses[id]
-	if len(waiting) < maxLossesPerCheck {
-		c.losses[id] = append(waiting, parts)
+	check := crashCheck{quarantine.CrashOf(slot.Target.ID, slot.Target.Born), slot.Target.ID, slot.Target.Address}
+	waiting, checking := c.ends[check.id]
+	if len(waiting) < maxEndsPerCheck {
+		c.ends[check.id] = append(waiting, end)
 	}
-	if checking {
-		return
+	if !checking {
+		c.requestCheck(check)
 	}
+}
+
+// requestCheck has the target checked. The caller must hold c.mutex.
+func (c *crashes) requestCheck(check crashCheck) {
 	select {
-	case c.checks <- crashCheck{id, slot.Target.ID, slot.Target.Address}:
+	case c.checks <- check:
 	default:
-		delete(c.losses, id)
-		c.log.Info("crashNotChecked", "target", slot.Target.ID)
+		delete(c.ends, check.id)
+		c.log.Info("crashNotChecked", "target", check.target)
 	}
 }
 
-// finish records the lost connections to a target as its crash, unless the target accepts connections.
-func (c *crashes) finish(check crashCheck, running bool) {
+// finish records the result of a check that began at the given time. If the target is running, its complete answers are
+// sound, and those of its connections that have ended since are checked again.
+func (c *crashes) finish(check crashCheck, began lovageshift.Millis, running bool) {
 	inMinority := c.inMinority()
 	now := c.clock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	losses := c.losses[check.id]
-	delete(c.losses, check.id)
-	c.log.Info("crashChecked", "target", check.target, "running", running, "inMinority", inMinority, "requests", len(losses))
-	if running || inMinority {
-		return
+	ends := c.ends[check.id]
+	delete(c.ends, check.id)
+	c.log.Info("crashChecked", "target", check.target, "running", running, "inMinority", inMinority, "requests", len(ends))
+	for _, end := range ends {
+		switch {
+		case !running && !inMinority:
+			c.parts.RecordCrash(now, check.id, end.parts)
+		case running && end.at > began:
+			c.ends[check.id] = append(c.ends[check.id], end)
+		case running && end.complete && end.firstEventAt > 0:
+			c.parts.RecordAnswer(now, end.parts, end.firstEventAt)
+		}
 	}
-	for _, parts := range losses {
-		c.parts.RecordCrash(now, check.id, parts)
+	if len(c.ends[check.id]) > 0 {
+		c.requestCheck(check)
 	}
 }
 
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -31,21 +31,30 @@
 // TestPromptPartThatCrashesTargets guards against a prompt part that keeps crashing targets, in requests that differ otherwise.
 func TestPromptPartThatCrashesTargets(t *testing.T) {
 	Convey("Requests with a part that crashed five targets no longer reach targets, and the other ones do", t, func() {
-		testFatalPart(false)
+		testFatalPart(targetOptions{})
 	})
 }
 
 // TestPromptPartThatCrashesTargetsBehindProxies guards against taking a proxy for the target that has crashed behind it.
 func TestPromptPartThatCrashesTargetsBehindProxies(t *testing.T) {
 	Convey("The same holds if a proxy accepts connections for a target that has crashed", t, func() {
-		testFatalPart(true)
+		testFatalPart(targetOptions{proxied: true})
 	})
 }
 
-func testFatalPart(proxied bool) {
-	i := newInstallation(3, 8, proxied, func(r *http.Request) bool {
-		return strings.Contains(r.Header.Get(standin.HeaderPromptParts), crashingPart)
+// TestPromptPartThatCrashesTargetsDuringOpenEndedAnswers guards against taking a crash for the end of an answer that has
+// neither a length nor chunks.
+func TestPromptPartThatCrashesTargetsDuringOpenEndedAnswers(t *testing.T) {
+	Convey("The same holds if answers end with their connections", t, func() {
+		testFatalPart(targetOptions{endsWithConnection: true})
 	})
+}
+
+func testFatalPart(options targetOptions) {
+	options.crashes = func(r *http.Request) bool {
+		return strings.Contains(r.Header.Get(standin.HeaderPromptParts), crashingPart)
+	}
+	i := newInstallation(3, 8, options)
 	defer i.stop()
 	var number, sound, answered atomic.Int64
 	send := func(prefix, middle string) standin.Reply {
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -29,6 +29,7 @@
 	server  *httptest.Server // serves the store
 	entries []*testEntry
 	hosts   []*host
+	port    uint16 // the UDP port of all entries
 	group   errgroup.Group
 	cancel  context.CancelFunc
 }
@@ -47,19 +48,28 @@
 	crashes []time.Time
 }
 
+// targetOptions describes the targets of an installation.
+type targetOptions struct {
+	// crashes reports whether a request crashes its target, nil if none does.
+	crashes func(*http.Request) bool
+	// proxied puts a proxy before each target, which accepts connections also while the target is down.
+	proxied bool
+	// endsWithConnection makes the answers end with their connections.
+	endsWithConnection bool
+}
+
 // newInstallation starts the entries and the targets, each with 4 slots and streams of some events, and waits until the
-// entries are ready and know of each other. The function crashes reports whether a request crashes its target. If proxied
-// is set, a proxy accepts connections to a target also while the target is down.
-func newInstallation(entries, targets int, proxied bool, crashes func(*http.Request) bool) *installation {
-	i := &installation{store: standin.NewStore()}
+// entries are ready and know of each other.
+func newInstallation(entries, targets int, options targetOptions) *installation {
+	i := &installation{store: standin.NewStore(), port: freeUDPPort()}
 	i.server = httptest.NewServer(i.store)
 	i.store.Put(standin.ConfigKey, configuration(2, 1e6, key))
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	for number := range targets {
-		h := newHost(i.store, number, proxied, crashes)
+		h := newHost(i.store, number, options)
 		i.hosts = append(i.hosts, h)
-		if proxied {
+		if options.proxied {
 			i.group.Go(func() error { return h.runProxy(ctx) })
 		}
 		i.group.Go(func() error { return h.run(ctx) })
@@ -77,17 +87,25 @@
 	return i
 }
 
+// freeUDPPort returns a port that no process uses at the first entry's address.
+func freeUDPPort() uint16 {
+	conn, err := net.ListenPacket("udp4", entryAddress(0)+":0")
+	So(err, ShouldBeNil)
+	defer func() { _ = conn.Close() }()
+	return netip.MustParseAddrPort(conn.LocalAddr().String()).Port()
+}
+
 func entryAddress(number int) string { return fmt.Sprintf("127.0.1.%d", number+1) }
 
 // startEntry starts an entry whose seeds are all entries.
 func (i *installation) startEntry(number, entries int) *testEntry {
 	return startEntry(i.server.Listener.Addr().String(), func(g *gateway.Gateway) (gateway.Peers, func(context.Context) error) {
-		conn, err := net.ListenPacket("udp4", entryAddress(number)+":7601")
+		conn, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", entryAddress(number), i.port))
 		So(err, ShouldBeNil)
 		m, err := metrics.New()
 		So(err, ShouldBeNil)
 		node := exchange.NewNode(exchange.Options{
-			Self: netip.MustParseAddr(entryAddress(number)), Port: 7601, State: g, Clock: lovageshift.NewClock(), Metrics: m, Conn: conn,
+			Self: netip.MustParseAddr(entryAddress(number)), Port: i.port, State: g, Clock: lovageshift.NewClock(), Metrics: m, Conn: conn,
 		})
 		var seeds []string
 		for other := range entries {
@@ -142,18 +160,18 @@
 	return all
 }
 
-func newHost(store *standin.Store, number int, proxied bool, crashes func(*http.Request) bool) *host {
+func newHost(store *standin.Store, number int, options targetOptions) *host {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	h := &host{store: store, address: listener.Addr().String(), down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
 	So(listener.Close(), ShouldBeNil)
-	if proxied {
+	if options.proxied {
 		h.proxy, err = net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 	}
 	h.replica = &standin.Replica{
 		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: 4, EventCount: 4, EventInterval: 10 * time.Millisecond,
-		CrashesOn: crashes,
+		CrashesOn: options.crashes, EndsWithConnection: options.endsWithConnection,
 		OnCrash: func() {
 			select {
 			case h.crashed <- struct{}{}:
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -41,7 +41,7 @@
 func TestLimitThatTargetNames(t *testing.T) {
 	Convey("A target gets no more than the limit that it names from all entries, and more again when it names none", t, func() {
 		const limit = 2
-		i := newInstallation(3, 4, false, nil)
+		i := newInstallation(3, 4, targetOptions{})
 		defer i.stop()
 		limited := i.hosts[0].replica
 		limited.SetLimit(fmt.Sprint(limit))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -209,25 +209,30 @@
 		return
 	}
 	r.gateway.suspects.recordCrash(r.gateway.clock.Now(), r)
-	r.gateway.crashes.lost(slot, r.sharedParts(), r.summary.firstEventAt())
+	r.gateway.crashes.recordEnd(slot, connectionEnd{parts: r.sharedParts(), firstEventAt: r.summary.firstEventAt()})
 }
 
-// recordAnswer records that the target has given a complete response, unless nothing but the end of its connection shows
-// that it is complete. A crash ends the connection too.
-func (r *request) recordAnswer(response *upstream.TargetResponse) {
+// recordAnswer records that the target has given a complete response. If only the end of the connection shows that it is
+// complete, the target is checked, as a crash ends the connection too.
+func (r *request) recordAnswer(slot *placement.Slot, response *upstream.TargetResponse) {
 	if response.EndsWithConnection() {
+		r.gateway.crashes.recordEnd(slot, connectionEnd{parts: r.sharedParts(), firstEventAt: r.answerBegan(response), complete: true})
 		return
 	}
 	r.gateway.suspects.clear(r)
-	began := r.summary.firstEventAt()
-	if r.route.Kind != catalog.KindStream && response.Status < http.StatusMultipleChoices {
-		began = r.summary.sentAt + r.summary.firstByte
-	}
-	if began > 0 {
+	if began := r.answerBegan(response); began > 0 {
 		r.gateway.crashes.answered(r.sharedParts(), began)
 	}
 }
 
+// answerBegan returns when the target began to write its answer, 0 if it wrote none.
+func (r *request) answerBegan(response *upstream.TargetResponse) lovageshift.Millis {
+	if r.route.Kind != catalog.KindStream && response.Status < http.StatusMultipleChoices {
+		return r.summary.sentAt + r.summary.firstByte
+	}
+	return r.summary.firstEventAt()
+}
+
 // recordProgress records the answer of a stream that has gone on for long enough, once for each target.
 func (r *request) recordProgress() {
 	began := r.summary.firstEventAt()
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -22,8 +22,11 @@
 	EventInterval time.Duration
 	ServiceTime   time.Duration
 
-	// CrashesOn, if set, reports whether a request crashes the replica. The replica then calls OnCrash, which must be set
-	// too, and aborts the connection.
+	// EndsWithConnection makes the body of each answer end with its connection, without a length or chunks.
+	EndsWithConnection bool
+
+	// CrashesOn, if set, reports whether a request crashes the replica. The replica then begins its answer, calls OnCrash,
+	// which must be set too, and aborts the connection.
 	CrashesOn func(request *http.Request) bool
 	OnCrash   func()
 
@@ -143,9 +146,8 @@
 		return
 	}
 	defer r.release()
-	if r.CrashesOn != nil && r.CrashesOn(request) {
-		r.OnCrash()
-		panic(http.ErrAbortHandler)
+	if r.EndsWithConnection {
+		header.Set("Transfer-Encoding", "identity")
 	}
 	id := request.Header.Get(HeaderRequestID)
 	if fault == ReplicaFaultWrongRequestID {
@@ -155,6 +157,11 @@
 	if fault != ReplicaFaultUnsigned {
 		header.Set(HeaderSignature, "seal-"+r.ID)
 	}
+	if r.CrashesOn != nil && r.CrashesOn(request) {
+		_ = http.NewResponseController(w).Flush()
+		r.OnCrash()
+		panic(http.ErrAbortHandler)
+	}
 	switch fault {
 	case ReplicaFaultReset:
 		panic(http.ErrAbortHandler)
