--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -372,14 +372,39 @@
 	})
 }
 
-// TestBlockedPartIsTriedAgain guards against refusing prompts for good after the targets have been repaired.
-func TestBlockedPartIsTriedAgain(t *testing.T) {
+// crashedThrice returns a register that has recorded three crashes, one a second from time 1000 on, under prompts of the parts.
+func crashedThrice(parts ...quarantine.Part) *quarantine.PartRegister {
 	r := quarantine.NewPartRegister()
 	r.SetRound(100)
-	parts := []quarantine.Part{1}
 	for number := range 3 {
 		r.RecordCrash(lovageshift.Millis(1000*number+1000), quarantine.CrashID(number), parts)
 	}
+	return r
+}
+
+// TestPartThatOthersShareIsNotBlocked guards against blocking what precedes the part that crashes targets.
+func TestPartThatOthersShareIsNotBlocked(t *testing.T) {
+	r := crashedThrice(1, 2)
+	if blocked := r.Blocked(10_000); !slices.Equal(blocked, []quarantine.Part{2}) {
+		t.Fatalf("blocked %v", blocked)
+	}
+}
+
+// TestRestartedEntryLearnsBlockedParts guards against an entry that sends prompts with a part that the others block.
+func TestRestartedEntryLearnsBlockedParts(t *testing.T) {
+	r, restarted := crashedThrice(1, 2), quarantine.NewPartRegister()
+	for _, crash := range r.ReportCrashes(30_000) {
+		restarted.LearnCrash(5, crash)
+	}
+	if blocked := restarted.Blocked(5); !slices.Equal(blocked, []quarantine.Part{2}) {
+		t.Fatalf("blocked %v", blocked)
+	}
+}
+
+// TestBlockedPartIsTriedAgain guards against refusing prompts for good after the targets have been repaired.
+func TestBlockedPartIsTriedAgain(t *testing.T) {
+	parts := []quarantine.Part{1}
+	r := crashedThrice(parts...)
 	if !r.Blocks(10_000, parts) {
 		t.Fatal("not blocked after three crashes")
 	}
