--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -401,6 +401,21 @@
 	}
 }
 
+// TestCrashesBeforeAnAnswerDoNotCount guards against blocking a popular part in the long run.
+func TestCrashesBeforeAnAnswerDoNotCount(t *testing.T) {
+	r := quarantine.NewPartRegister()
+	r.SetRound(100)
+	parts := []quarantine.Part{1}
+	for number := range 12 {
+		at := lovageshift.Millis(1000*number + 1000)
+		r.RecordAnswer(at-300, parts, at-500)
+		r.RecordCrash(at, quarantine.CrashID(number), parts)
+	}
+	if r.Blocks(30_000, parts) {
+		t.Fatal("blocked")
+	}
+}
+
 // TestBlockedPartIsTriedAgain guards against refusing prompts for good after the targets have been repaired.
 func TestBlockedPartIsTriedAgain(t *testing.T) {
 	parts := []quarantine.Part{1}
