Send a trial of a blocked part to one target only

Cause: a repeatable request that tries a blocked part was retried at another target after it had crashed the first. Found by reading. Change: after a lost connection the request is no trial any more, and so refused. Result: go vet and build only; no test, as a trial is due 60 s after a crash and the gateway's tests run in real time.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -208,6 +208,7 @@
 	if !errors.Is(err, upstream.ErrConnectionLost) {
 		return
 	}
+	r.isTrial = false // a trial is sent to one target only
 	r.gateway.suspects.recordCrash(r.gateway.clock.Now(), r)
 	r.gateway.crashes.recordEnd(slot, connectionEnd{parts: r.sharedParts(), firstEventAt: r.summary.firstEventAt()})
 }
