--- a/exchange/node.go
+++ b/exchange/node.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
-	"time"
 
-	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -20,21 +16,6 @@
 	"lovageshift/wire"
 )
 
-const (
-	// Interval at which an entry sends state updates.
-	sendIntervalMillis lovageshift.Millis = 100
-	// Each interval, an entry sends to the next members of the list only: one for each this many milliseconds of the
-	// interval. This limits the number of datagrams that an entry sends and receives per second.
-	perMemberMillis lovageshift.Millis = 6
-	// An entry counts as reporting until two rounds and this many milliseconds after its last state update, so that a
-	// single lost one does not matter. In a round, every member gets one update.
-	reportSlackMillis lovageshift.Millis = 150
-	// Size of the buffer for received datagrams, in bytes. A longer datagram is cut off at this size.
-	maxDatagramBytes = 8 << 10
-	// How many times an entry that stops announces to every member that it leaves. One announcement may be lost.
-	leaveUpdates = 3
-)
-
 // State is the part of an entry that provides the state to share and applies the state of the others. Its methods
 // may be called concurrently.
 type State interface {
@@ -189,48 +170,6 @@
 	n.metrics.Add(metrics.PeerMessages, "sent", 1)
 }
 
-func (n *Node) sendLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		n.sendUpdate(n.nextMembers)
-		lovageshift.Pause(ctx, sendIntervalMillis.Duration())
-	}
-	n.Leave()
-	for range leaveUpdates {
-		n.sendUpdate(n.allMembers)
-	}
-}
-
-// membersPerInterval returns to how many of the listed members an update is sent in each interval.
-func membersPerInterval(listed int) int {
-	return min(listed, int(sendIntervalMillis/perMemberMillis)+1)
-}
-
-// roundIntervals returns the number of intervals in which every member gets one update.
-func roundIntervals(listed int) int {
-	if listed == 0 {
-		return 1
-	}
-	perInterval := membersPerInterval(listed)
-	return (listed + perInterval - 1) / perInterval
-}
-
-// reportTimeout returns how long after its last state update an entry counts as reporting.
-func reportTimeout(listed int) lovageshift.Millis {
-	round := sendIntervalMillis * lovageshift.Millis(roundIntervals(listed))
-	return max(liveTimeoutMillis, 2*round+reportSlackMillis)
-}
-
-// nextMembers returns the members whose turn it is and the collectors. The caller must hold n.mutex.
-func (n *Node) nextMembers() []*member {
-	due := n.members.next(membersPerInterval(len(n.members.others)))
-	for _, address := range n.collectors {
-		if other := n.members.others[address]; other != nil && !slices.Contains(due, other) {
-			due = append(due, other)
-		}
-	}
-	return due
-}
-
 // Incarnation returns the random number of this incarnation.
 func (n *Node) Incarnation() uint64 { return n.incarnation }
 
@@ -245,173 +184,3 @@
 	}
 	return other.incarnation, other.usage
 }
-
-// allMembers returns all members. The caller must hold n.mutex.
-func (n *Node) allMembers() []*member { return n.members.all() }
-
-// addressedUpdate is a datagram to one member: a state update that goes to other members too, and the time to echo.
-type addressedUpdate struct {
-	to      netip.Addr
-	content []byte
-	sentAt  uint64
-}
-
-// sendUpdate sends one state update to the members that the function receivers returns. It also removes from the list the
-// members that members.expire finds expired.
-func (n *Node) sendUpdate(receivers func() []*member) {
-	now := n.clock.Now()
-	update, collectors := n.state.StateUpdate(now), n.state.Collectors()
-	n.mutex.Lock()
-	n.collectors = collectors
-	updates, err := n.prepareUpdates(now, update, receivers())
-	n.members.expire(now)
-	counts := n.members.counts(now)
-	n.mutex.Unlock()
-	n.state.SetMemberCounts(now, counts)
-	if err != nil {
-		n.log.Info("datagramNotSent", "error", err.Error())
-		return
-	}
-	for _, u := range updates {
-		n.writeTo(u.to, append(u.content[:len(u.content):len(u.content)], encodeEcho(u.sentAt)...))
-	}
-}
-
-// prepareUpdates completes the state update and encodes it for the receivers: with all accounts for some of them, with
-// those whose use changed lately for the others. The caller must hold n.mutex.
-func (n *Node) prepareUpdates(now lovageshift.Millis, update *wire.EntryNews, receivers []*member) ([]addressedUpdate, error) {
-	n.sequence++
-	update.Incarnation, update.Sequence, update.Leaving = n.incarnation, n.sequence, n.leaving
-	update.AcceptsChangedAccounts, update.ProcessorMillicores = true, uint32(n.processor)
-	update.SentAt, update.UptimeMillis = uint64(n.clock.SinceBoot()), uint64(now)
-	n.members.list(now, update)
-	roundTicks := roundIntervals(len(n.members.others))
-	n.changes.add(update, roundTicks)
-	update.Refused = n.changes.allRefused()
-	var forComplete, forChanges []*member
-	for _, other := range receivers {
-		if n.needsCompleteList(now, other, roundTicks) {
-			forComplete = append(forComplete, other)
-		} else {
-			forChanges = append(forChanges, other)
-		}
-	}
-	updates, err := appendUpdates(nil, update, forComplete)
-	if err != nil {
-		return nil, err
-	}
-	update.Accounts, update.ChangedAccountsOnly = n.changes.changed(update.Accounts, roundTicks), true
-	return appendUpdates(updates, update, forChanges)
-}
-
-// appendUpdates encodes the state update, if there are receivers, and appends a datagram for each of them.
-func appendUpdates(updates []addressedUpdate, update *wire.EntryNews, receivers []*member) ([]addressedUpdate, error) {
-	if len(receivers) == 0 {
-		return updates, nil
-	}
-	content, err := proto.Marshal(&wire.EntryPacket{Body: &wire.EntryPacket_News{News: update}})
-	if err != nil {
-		return nil, err
-	}
-	for _, other := range receivers {
-		updates = append(updates, addressedUpdate{other.address, content, other.sentAt})
-	}
-	return updates, nil
-}
-
-// needsCompleteList reports whether a member has to get all accounts: if it may lack an earlier complete list, and in
-// some rounds in any case. The caller must hold n.mutex.
-func (n *Node) needsCompleteList(now lovageshift.Millis, other *member, roundTicks int) bool {
-	round := n.changes.tick / uint64(roundTicks)
-	isNew := other.receivedAt == 0 || now-other.firstReceivedAt < reportTimeout(len(n.members.others))
-	return !other.acceptsChanges || isNew || round%roundsPerCompleteList == 0
-}
-
-// encodeEcho encodes the time to echo to one receiver. It is encoded apart from the rest of the datagram, which is the same
-// for all receivers. The two parts can be concatenated, as concatenated protobuf messages decode as one.
-func encodeEcho(sentAt uint64) []byte {
-	content, err := proto.Marshal(&wire.EntryPacket{EchoedAt: sentAt})
-	if err != nil {
-		panic(err) // a message with a single integer always encodes
-	}
-	return content
-}
-
-func (n *Node) receiveLoop(ctx context.Context) error {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		size, from, err := n.conn.ReadFrom(buffer)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			n.log.Info("datagramNotRead", "error", err.Error())
-			lovageshift.Pause(ctx, 10*time.Millisecond)
-			continue
-		}
-		sender, err := senderAddress(from)
-		if err != nil {
-			n.metrics.Add(metrics.PeerMessages, "foreign", 1)
-			continue
-		}
-		packet := &wire.EntryPacket{}
-		if err := proto.Unmarshal(buffer[:size], packet); err != nil {
-			n.metrics.Add(metrics.PeerMessages, "unreadable", 1)
-			continue
-		}
-		n.metrics.Add(metrics.PeerMessages, "received", 1)
-		if update := packet.GetNews(); update != nil {
-			n.handleUpdate(sender, update, n.validEcho(packet.EchoedAt))
-			continue
-		}
-		n.state.HandlePacket(n.clock.Now(), sender, packet)
-	}
-}
-
-// validEcho returns the time that a sender echoed, or 0 if it is before this incarnation's start or in the future, so that
-// it cannot be a time that this incarnation sent. The sender may echo a time that it received from an earlier VM at this
-// address, which had another clock.
-func (n *Node) validEcho(echo uint64) lovageshift.Millis {
-	if echo < uint64(n.startedAt) || echo > uint64(n.clock.SinceBoot()) {
-		return 0
-	}
-	return lovageshift.Millis(echo)
-}
-
-func senderAddress(from net.Addr) (netip.Addr, error) {
-	addrPort, err := netip.ParseAddrPort(from.String())
-	if err != nil {
-		return netip.Addr{}, trace.Wrap(err, "parse the sender's address")
-	}
-	return addrPort.Addr().Unmap(), nil
-}
-
-// handleUpdate applies a state update. It ignores an update that has this entry's own address as its sender, and one that
-// is not newer than the last update received from the same incarnation.
-func (n *Node) handleUpdate(from netip.Addr, update *wire.EntryNews, echoedAt lovageshift.Millis) {
-	now := n.clock.Now()
-	n.mutex.Lock()
-	other := n.members.learn(now, from)
-	if other == nil {
-		n.mutex.Unlock()
-		return
-	}
-	newIncarnation := other.incarnation != update.Incarnation
-	if !newIncarnation && update.Sequence <= other.sequence { // a duplicate, or received after a later update
-		n.mutex.Unlock()
-		return
-	}
-	wasLive, silent := other.live(now), now-other.aliveAt // silent is now if nothing was known of it before
-	previous := n.members.record(now, other, update)
-	n.members.learnListed(now, update)
-	counts := n.members.counts(now)
-	n.mutex.Unlock()
-	if newIncarnation || !wasLive {
-		n.log.Info("entryHeard", "peer", from.String(), "newIncarnation", newIncarnation, "silentMillis", silent,
-			"known", counts.Known, "heard", counts.Live)
-	}
-	if update.Leaving {
-		n.log.Info("entryLeaving", "peer", from.String())
-	}
-	n.state.ApplyPeerUpdate(now, from, previous, echoedAt, update)
-}
--- /dev/null
+++ b/placement/slot.go
@@ -0,0 +1,77 @@
+package placement
+
+import (
+	"errors"
+	"net/netip"
+
+	"lovageshift"
+)
+
+// AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
+// this entry does not know the target's incarnation, and ErrOverLimit if the granter does not know the target's limit and
+// the slot would exceed it.
+func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.byHash[grant.Target]
+	if t == nil || t.Born != grant.Born {
+		return nil, ErrUnknownTarget
+	}
+	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
+		return nil, ErrOverLimit
+	}
+	slot := s.acquire(now, t, job)
+	slot.Running, slot.granter = grant.Running, granter
+	t.ownByGranter[granter]++
+	return slot, nil
+}
+
+// Errors of AcquireGranted.
+var (
+	ErrUnknownTarget = errors.New("the slot is at an unknown target")
+	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
+)
+
+func (s *Scheduler) acquire(now lovageshift.Millis, chosen *targetState, job *Job) *Slot {
+	slot := &Slot{
+		Target:         chosen.Target,
+		MaxConnections: s.maxConnections(chosen),
+		Running:        chosen.running(),
+		Waited:         now - job.Arrived,
+		promptTokens:   job.PromptTokens,
+		state:          chosen,
+	}
+	chosen.own++
+	return slot
+}
+
+// maxConnections returns how many connections this entry may have open to the target, 0 for no bound.
+func (s *Scheduler) maxConnections(chosen *targetState) int {
+	if chosen.service.ConnectionLimit == 0 {
+		return 0
+	}
+	return max(int(float64(chosen.service.ConnectionLimit)*connectionShare)/s.knownEntries, 1)
+}
+
+// Release returns a slot and records how its request ended; the slot may be given to a waiting request at once.
+func (s *Scheduler) Release(now lovageshift.Millis, slot *Slot, result Result) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	slot.state.own--
+	if slot.granter.IsValid() {
+		slot.state.releaseGranted(slot.granter)
+	}
+	slot.state.recordResult(now, slot.promptTokens, result)
+	s.assignService(now, slot.state.Service)
+	if slot.OnRelease != nil {
+		slot.OnRelease(result)
+	}
+}
+
+// ReportUnresponsive counts a failure of the slot's target, for a request to which it sent no response header by the
+// caller's timeout. The slot stays in use until Release.
+func (s *Scheduler) ReportUnresponsive(now lovageshift.Millis, slot *Slot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	slot.state.observe(now, true)
+}
