Send long requests to targets with a limit first

Cause: a target with a limit has slots to spare and few requests for them, and got requests of any length. Change: at least average work goes there first; less goes there only if two requests may be sent; the burst is two.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -103,6 +103,9 @@
 	if t.Zone != job.Zone {
 		total += crossZoneCost
 	}
+	if t.limit.inForce(now) && !t.speeds.isShort(job) {
+		total -= limitedDiscount
+	}
 	if share := t.failureShare(now); share > 0.05 {
 		total *= 1 + failureWeight*share
 		if share > failureShareLimit {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -12,8 +12,14 @@
 	limitTTL lovageshift.Millis = 600_000
 	// A target is sent at least this many requests per second, as only its response shows that it has no limit any more.
 	minLimit = 0.2
-	// Requests that a target may get at once, as a share of those of one second, but at least one.
+	// Requests that a target may get at once, as a share of those of one second, but at least minLimitBurst.
 	limitBurstShare = 0.25
+	minLimitBurst   = 2
+	// A target with a limit has slots to spare but few requests to fill them with. A request of less work than the average
+	// one gets such a target only if this many may be sent, so that the longer ones go there first.
+	minLevelForShort = 2
+	// Taken off the cost of a target with a limit for a request of at least the average work.
+	limitedDiscount = 0.5
 	// A backup assigns up to this share of a target's limit. It does so beside the coordinator if only some entries find the
 	// coordinator unresponsive.
 	backupLimitShare = 0.4
@@ -68,15 +74,15 @@
 
 // refill adds what has accrued at the rate per second.
 func (b *tokenBucket) refill(now lovageshift.Millis, rate float64) {
-	burst := max(1, rate*limitBurstShare)
+	burst := max(minLimitBurst, rate*limitBurstShare)
 	b.level = min(burst, b.level+rate*float64(now-b.updated)/millisPerSecond)
 	b.updated = now
 }
 
-// has reports whether one request may be sent at the rate per second.
-func (b *tokenBucket) has(now lovageshift.Millis, rate float64) bool {
+// has reports whether the number of requests may be sent at the rate per second.
+func (b *tokenBucket) has(now lovageshift.Millis, rate, count float64) bool {
 	b.refill(now, rate)
-	return b.level >= 1
+	return b.level >= count
 }
 
 func (b *tokenBucket) take() { b.level-- }
@@ -141,13 +147,17 @@
 // withinLimit reports whether this entry may assign a target with a limit to the waiter. Without a quorum, it takes its
 // even share of the limit, as entries that are cut off from it may do the same.
 func (s *Scheduler) withinLimit(now lovageshift.Millis, t *targetState, w *Waiter) bool {
+	count := 1.0
+	if t.speeds.isShort(w.job) {
+		count = minLevelForShort
+	}
 	switch {
 	case !s.quorum:
-		return t.limit.assigned.has(now, s.evenShare(t))
+		return t.limit.assigned.has(now, s.evenShare(t), count)
 	case w.role == Coordinator:
-		return t.limit.assigned.has(now, t.limit.rate())
+		return t.limit.assigned.has(now, t.limit.rate(), count)
 	case w.role == Backup:
-		return t.limit.assigned.has(now, t.limit.rate()*backupLimitShare)
+		return t.limit.assigned.has(now, t.limit.rate()*backupLimitShare, count)
 	default:
 		return false
 	}
@@ -164,7 +174,7 @@
 	if keepsLimit || !t.limit.inForce(now) {
 		return true
 	}
-	if !t.limit.accepted.has(now, s.evenShare(t)) {
+	if !t.limit.accepted.has(now, s.evenShare(t), 1) {
 		return false
 	}
 	t.limit.accepted.take()
--- a/placement/target.go
+++ b/placement/target.go
@@ -33,7 +33,7 @@
 	// Weight of a new value in the moving average tokenMillis. Few streams are long enough to measure it, and a target that
 	// has turned slow should be known as such soon.
 	tokenWeight = 0.3
-	// Weight of a new value in the moving average tokenPerPrompt, to which all targets of a service contribute.
+	// Weight of a new value in the moving averages tokenPerPrompt and meanWork, to which all targets of a service contribute.
 	ratioWeight = 0.05
 	// Estimates of the output are often too low by this factor.
 	outputMargin = 2
@@ -180,12 +180,17 @@
 	return latency * promptUnits(promptTokens)
 }
 
-// serviceSpeeds relates the two speeds of a service's targets.
+// serviceSpeeds holds averages over a service's targets and requests.
 type serviceSpeeds struct {
 	// tokenPerPrompt is the moving average of tokenMillis as a multiple of promptLatency, 0 before the first measurement.
 	tokenPerPrompt float64
+	// meanWork is the moving average of the work of the requests that got slots, as estimated by workOf, 0 before the first.
+	meanWork float64
 }
 
+// isShort reports whether a job is less work than the average one.
+func (s *serviceSpeeds) isShort(job *Job) bool { return workOf(job) < s.meanWork }
+
 func (t *targetState) observeToken(now lovageshift.Millis, millis float64) {
 	if now-t.tokenMeasuredAt > tokenTTL {
 		t.tokenMillis = 0
