See crashes that leave connections silent

What callers saw: nothing yet; found by reading. If a target that crashes falls silent, the caller, a time limit or the watch for slow targets ends the request before its connection counts as lost, and the crash was recorded nowhere. An answer that had sent its first event before also counted as sound by the time it took to notice its end. Cause: only lost connections were looked at, and soundness was measured up to now, not to the last event. Change: a target that has sent nothing for 1 s when a request ends is checked; if its incarnation is gone by then, that is its crash. An answer is sound by the time between its events. Result: TestPromptPartThatSilencesTargets failed before (18 late requests, 3 allowed) and passes with -race; the other tests of fatal parts pass.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -171,12 +171,15 @@
 			})
 			return attemptResult{done: true}
 		case stall.stalled.Load() && ctx.Err() == nil:
+			r.checkSilent(slot)
 			g.log.Info("streamStalled", "request", r.headers.ID, "target", slot.Target.ID, "afterMillis", stall.limit, "events", r.summary.events)
 			g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Failed})
 			return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineTimeout, "the stream stalled")}
 		default:
 			if ctx.Err() == nil {
 				r.recordLoss(slot, err)
+			} else {
+				r.checkSilent(slot)
 			}
 			g.scheduler.Release(g.clock.Now(), slot, placement.Result{
 				TokenMicros: r.tokenMicros(), Outcome: r.bodyErrorOutcome(ctx, err),
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -27,6 +27,9 @@
 	maxCrashChecks   = 32
 	maxWaitingChecks = 256
 	maxEndsPerCheck  = 64
+	// A target that sent nothing for this long before a request to it ended is checked. A crash may leave its connections
+	// silent for longer than callers wait.
+	silenceToCheck lovageshift.Millis = 1000
 )
 
 // crashes finds out which ended connections are crashes of targets, and keeps the parts of prompts under which targets
@@ -57,6 +60,7 @@
 type connectionEnd struct {
 	parts        []quarantine.Part  // of the request's prompt
 	firstEventAt lovageshift.Millis // when the target sent the first event, 0 if it sent none
+	lastEventAt  lovageshift.Millis // when it sent the last event
 	// complete is set if the answer may be complete, as only the end of the connection shows its end.
 	complete bool
 	at       lovageshift.Millis
@@ -111,7 +115,7 @@
 	end.at = c.clock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if quarantine.Sound(end.at, end.firstEventAt) {
+	if quarantine.Sound(end.firstEventAt, end.lastEventAt) {
 		c.parts.RecordAnswer(end.at, end.parts, end.firstEventAt)
 		return
 	}
@@ -125,6 +129,17 @@
 	}
 }
 
+// recordGone records the end of a connection to a target that fell silent, and whose incarnation is gone, as its crash.
+func (c *crashes) recordGone(slot *placement.Slot, end connectionEnd) {
+	if len(end.parts) == 0 || quarantine.Sound(end.firstEventAt, end.lastEventAt) || c.inMinority() {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.log.Info("crashChecked", "target", slot.Target.ID, "running", false, "inMinority", false, "requests", 1)
+	c.parts.RecordCrash(c.clock.Now(), quarantine.CrashOf(slot.Target.ID, slot.Target.Born), end.parts)
+}
+
 // requestCheck has the target checked. The caller must hold c.mutex.
 func (c *crashes) requestCheck(check crashCheck) {
 	select {
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -50,6 +50,13 @@
 	})
 }
 
+// TestPromptPartThatSilencesTargets guards against taking a crash that leaves connections open for a slow answer.
+func TestPromptPartThatSilencesTargets(t *testing.T) {
+	Convey("The same holds if a target that crashes falls silent", t, func() {
+		testFatalPart(targetOptions{silent: true})
+	})
+}
+
 func testFatalPart(options targetOptions) {
 	options.crashes = func(r *http.Request) bool {
 		return strings.Contains(r.Header.Get(standin.HeaderPromptParts), crashingPart)
@@ -64,8 +71,11 @@
 		})
 	}
 	var callers errgroup.Group
-	end := time.Now().Add(7 * time.Second)
-	for range 2 {
+	end, fatalCallers := time.Now().Add(7*time.Second), 2
+	if options.silent { // each request then takes as long as its caller waits
+		end, fatalCallers = time.Now().Add(10*time.Second), 6
+	}
+	for range fatalCallers {
 		callers.Go(func() error {
 			for time.Now().Before(end) {
 				send("bad", crashingPart)
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -40,6 +40,7 @@
 	address string
 	proxy   net.Listener // nil unless a proxy forwards to the address
 	replica *standin.Replica
+	silent  bool
 	down    time.Duration // time between a crash and the next start
 	crashed chan struct{}
 
@@ -54,6 +55,8 @@
 	crashes func(*http.Request) bool
 	// proxied puts a proxy before each target, which accepts connections also while the target is down.
 	proxied bool
+	// silent makes targets that crash leave their connections open and send nothing.
+	silent bool
 	// endsWithConnection makes the answers end with their connections.
 	endsWithConnection bool
 }
@@ -163,7 +166,7 @@
 func newHost(store *standin.Store, number int, options targetOptions) *host {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
-	h := &host{store: store, address: listener.Addr().String(), down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
+	h := &host{store: store, address: listener.Addr().String(), silent: options.silent, down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
 	So(listener.Close(), ShouldBeNil)
 	if options.proxied {
 		h.proxy, err = net.Listen("tcp", "127.0.0.1:0")
@@ -173,6 +176,9 @@
 		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: 4, EventCount: 4, EventInterval: 10 * time.Millisecond,
 		CrashesOn: options.crashes, EndsWithConnection: options.endsWithConnection,
 		OnCrash: func() {
+			if options.silent {
+				h.replica.Silence()
+			}
 			select {
 			case h.crashed <- struct{}{}:
 			default: // it is crashing already
@@ -200,7 +206,12 @@
 			h.mutex.Unlock()
 		case <-ctx.Done():
 		}
-		_ = server.Close()
+		if h.silent && ctx.Err() == nil {
+			_ = listener.Close()
+			defer func() { _ = server.Close() }()
+		} else {
+			_ = server.Close()
+		}
 		_ = group.Wait()
 		lovageshift.Pause(ctx, h.down)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -180,10 +180,12 @@
 		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonTargetFailing, err.Error()).WithRetryAfter(shortRetryAfter), notSent: true}
 	case ctx.Err() != nil:
 		r.runs++
+		r.checkSilent(slot)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: r.canceledOutcome(ctx)})
 		return attemptResult{refusal: lovageshift.Unknown(r.interruptReason(ctx), "no answer before it ended")}
 	case sendCtx.Err() != nil:
 		r.runs++
+		r.checkSilent(slot)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: placement.Failed})
 		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineTimeout, "the target did not begin to answer")}
 	default:
@@ -210,14 +212,38 @@
 	}
 	r.isTrial = false // a trial is sent to one target only
 	r.gateway.suspects.recordCrash(r.gateway.clock.Now(), r)
-	r.gateway.crashes.recordEnd(slot, connectionEnd{parts: r.sharedParts(), firstEventAt: r.summary.firstEventAt()})
+	r.gateway.crashes.recordEnd(slot, r.connectionEnd())
+}
+
+func (r *request) connectionEnd() connectionEnd {
+	return connectionEnd{parts: r.sharedParts(), firstEventAt: r.summary.firstEventAt(), lastEventAt: r.summary.lastEventAt}
+}
+
+// checkSilent has the target checked if it has sent nothing for long, although the connection to it is not lost. If its
+// incarnation is gone by now, another one may answer the check.
+func (r *request) checkSilent(slot *placement.Slot) {
+	last := r.summary.sentAt
+	if r.summary.targetEvents > 0 {
+		last = r.summary.lastEventAt
+	}
+	g := r.gateway
+	if g.clock.Now()-last < silenceToCheck {
+		return
+	}
+	if registered := g.tracker.View().Targets[slot.Target.ID]; registered == nil || registered.Born != slot.Target.Born {
+		g.crashes.recordGone(slot, r.connectionEnd())
+		return
+	}
+	g.crashes.recordEnd(slot, r.connectionEnd())
 }
 
 // recordAnswer records that the target has given a complete response. If only the end of the connection shows that it is
 // complete, the target is checked, as a crash ends the connection too.
 func (r *request) recordAnswer(slot *placement.Slot, response *upstream.TargetResponse) {
 	if response.EndsWithConnection() {
-		r.gateway.crashes.recordEnd(slot, connectionEnd{parts: r.sharedParts(), firstEventAt: r.answerBegan(response), complete: true})
+		end := r.connectionEnd()
+		end.firstEventAt, end.complete = r.answerBegan(response), true
+		r.gateway.crashes.recordEnd(slot, end)
 		return
 	}
 	r.gateway.suspects.clear(r)
@@ -237,7 +263,7 @@
 // recordProgress records the answer of a stream that has gone on for long enough, once for each target.
 func (r *request) recordProgress() {
 	began := r.summary.firstEventAt()
-	if r.summary.sound || !quarantine.Sound(r.gateway.clock.Now(), began) {
+	if r.summary.sound || !quarantine.Sound(began, r.summary.lastEventAt) {
 		return
 	}
 	r.summary.sound = true
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -91,10 +91,10 @@
 	reportUntil lovageshift.Millis
 }
 
-// Sound reports whether an answer that has sent its first event at the given time, 0 for none, and has not ended, shows
-// that its prompt does not crash targets.
-func Sound(now, firstEventAt lovageshift.Millis) bool {
-	return firstEventAt > 0 && now-firstEventAt >= soundAfter
+// Sound reports whether an answer with the first and the last event so far at these times, 0 for none, shows that its prompt
+// does not crash targets.
+func Sound(firstEventAt, lastEventAt lovageshift.Millis) bool {
+	return firstEventAt > 0 && lastEventAt-firstEventAt >= soundAfter
 }
 
 // NewPartRegister returns an empty register.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -254,7 +254,7 @@
 		}
 	}
 	target.running = slices.DeleteFunc(target.running, func(r *simRequest) bool {
-		isSound := s.now >= r.endsAt || quarantine.Sound(s.now, r.beganAt)
+		isSound := s.now >= r.endsAt || quarantine.Sound(r.beganAt, s.now)
 		if isSound && !r.isReported && !r.entry.old {
 			r.register.RecordAnswer(s.now, r.parts, r.beganAt)
 			r.isReported = true
@@ -268,7 +268,7 @@
 	number := slices.Index(s.hosts, target)
 	id := quarantine.CrashOf(lovageshift.TargetID(fmt.Sprint(number)), target.born)
 	for _, r := range target.running {
-		if r.entry.old || r.register != r.entry.register || !r.entry.running(s.now) || quarantine.Sound(s.now, r.beganAt) {
+		if r.entry.old || r.register != r.entry.register || !r.entry.running(s.now) || quarantine.Sound(r.beganAt, s.now) {
 			continue
 		}
 		r.register.RecordCrash(s.now, id, r.parts)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -34,6 +34,7 @@
 	running  int // requests that run now
 	fault    ReplicaFault
 	limit    string
+	silenced chan struct{} // closed when the answers that run now send nothing any more, nil before the first request
 	received []ReceivedRequest
 }
 
@@ -89,6 +90,27 @@
 	r.limit = perSecond
 }
 
+// Silence makes all answers that have begun send nothing any more, as if the replica's machine had lost its power. Later
+// answers are sent.
+func (r *Replica) Silence() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.silenced != nil {
+		close(r.silenced)
+	}
+	r.silenced = make(chan struct{})
+}
+
+// silence returns the channel that ends the answer of a request.
+func (r *Replica) silence() <-chan struct{} {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.silenced == nil {
+		r.silenced = make(chan struct{})
+	}
+	return r.silenced
+}
+
 // Executed returns the requests that the replica ran, in order of arrival.
 func (r *Replica) Executed() []ReceivedRequest {
 	return slices.DeleteFunc(r.Received(), func(received ReceivedRequest) bool { return !received.Executed })
@@ -146,6 +168,7 @@
 		return
 	}
 	defer r.release()
+	silenced := r.silence()
 	if r.EndsWithConnection {
 		header.Set("Transfer-Encoding", "identity")
 	}
@@ -160,7 +183,7 @@
 	if r.CrashesOn != nil && r.CrashesOn(request) {
 		_ = http.NewResponseController(w).Flush()
 		r.OnCrash()
-		panic(http.ErrAbortHandler)
+		r.abort(request, silenced)
 	}
 	switch fault {
 	case ReplicaFaultReset:
@@ -178,7 +201,17 @@
 		_, _ = io.WriteString(w, "done by "+r.ID)
 		return
 	}
-	r.stream(w, request, fault)
+	r.stream(w, request, fault, silenced)
+}
+
+// abort ends an answer when its connection does if the replica is silenced, and its connection otherwise.
+func (r *Replica) abort(request *http.Request, silenced <-chan struct{}) {
+	select {
+	case <-silenced:
+		<-request.Context().Done()
+	default:
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // admit records a request and takes a slot for it. It returns the fault that applies to its answer, and false if the
@@ -218,11 +251,16 @@
 
 // stream writes the events that follow the one whose number is in the Last-Event-Id header, or all events if there is
 // no such header.
-func (r *Replica) stream(w http.ResponseWriter, request *http.Request, fault ReplicaFault) {
+func (r *Replica) stream(w http.ResponseWriter, request *http.Request, fault ReplicaFault, silenced <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for number := first + 1; number <= r.EventCount; number++ {
 		sleep(request, r.EventInterval)
+		select {
+		case <-silenced:
+			r.abort(request, silenced)
+		default:
+		}
 		if fault == ReplicaFaultTruncate && number > first+2 {
 			_, _ = io.WriteString(w, fmt.Sprintf("id: %d\nda", number))
 			_ = http.NewResponseController(w).Flush()
