Record every end of a connection to a target in one way

Cause: recordGone repeated the checks of recordEnd, three places decided between a lost connection and a silent target, and two of them left the silent one out. CrashOf spelled out an encoding that encoding/binary has. Change: a gone incarnation is a property of the end; recordLoss decides by the context, so that plain bodies whose caller leaves a silent target have it checked too, as streams do: the one change of behaviour. Result: go test -race ./gateway, fatal parts, bodies, broken streams, outcomes: passes.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,9 +34,7 @@
 	g := r.gateway
 	body, complete, err := response.ReadBody()
 	if err != nil {
-		if ctx.Err() == nil {
-			r.recordLoss(slot, err)
-		}
+		r.recordLoss(ctx, slot, err)
 		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: r.bodyErrorOutcome(ctx, err)})
 		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineAnswerMalformed, err.Error())}
 	}
@@ -75,9 +73,7 @@
 		r.recordAnswer(slot, response)
 	case errors.Is(err, upstream.ErrConnectionLost), errors.Is(err, upstream.ErrInvalidResponse):
 		outcome = r.bodyErrorOutcome(ctx, err)
-		if ctx.Err() == nil {
-			r.recordLoss(slot, err)
-		}
+		r.recordLoss(ctx, slot, err)
 	default: // the caller does not read the response
 		outcome = placement.Abandoned
 	}
@@ -176,11 +172,7 @@
 			g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Failed})
 			return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineTimeout, "the stream stalled")}
 		default:
-			if ctx.Err() == nil {
-				r.recordLoss(slot, err)
-			} else {
-				r.checkSilent(slot)
-			}
+			r.recordLoss(ctx, slot, err)
 			g.scheduler.Release(g.clock.Now(), slot, placement.Result{
 				TokenMicros: r.tokenMicros(), Outcome: r.bodyErrorOutcome(ctx, err),
 			})
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -63,7 +63,9 @@
 	lastEventAt  lovageshift.Millis // when it sent the last event
 	// complete is set if the answer may be complete, as only the end of the connection shows its end.
 	complete bool
-	at       lovageshift.Millis
+	// gone is set if the target fell silent and its incarnation is gone, so that it has crashed.
+	gone bool
+	at   lovageshift.Millis
 }
 
 func newCrashes(clock lovageshift.Clock, log *eventlog.Log, inMinority func() bool) *crashes {
@@ -120,6 +122,10 @@
 		return
 	}
 	check := crashCheck{quarantine.CrashOf(slot.Target.ID, slot.Target.Born), slot.Target.ID, slot.Target.Address}
+	if end.gone {
+		c.recordResult(check, []connectionEnd{end}, end.at, false)
+		return
+	}
 	waiting, checking := c.ends[check.id]
 	if len(waiting) < maxEndsPerCheck {
 		c.ends[check.id] = append(waiting, end)
@@ -129,17 +135,6 @@
 	}
 }
 
-// recordGone records the end of a connection to a target that fell silent, and whose incarnation is gone, as its crash.
-func (c *crashes) recordGone(slot *placement.Slot, end connectionEnd) {
-	if len(end.parts) == 0 || quarantine.Sound(end.firstEventAt, end.lastEventAt) || c.inMinority() {
-		return
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.log.Info("crashChecked", "target", slot.Target.ID, "running", false, "inMinority", false, "requests", 1)
-	c.parts.RecordCrash(c.clock.Now(), quarantine.CrashOf(slot.Target.ID, slot.Target.Born), end.parts)
-}
-
 // requestCheck has the target checked. The caller must hold c.mutex.
 func (c *crashes) requestCheck(check crashCheck) {
 	select {
@@ -150,15 +145,19 @@
 	}
 }
 
-// finish records the result of a check that began at the given time. If the target is running, its complete answers are
-// sound, and those of its connections that have ended since are checked again.
+// finish records the result of a check that began at the given time.
 func (c *crashes) finish(check crashCheck, began lovageshift.Millis, running bool) {
-	inMinority := c.inMinority()
-	now := c.clock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	ends := c.ends[check.id]
 	delete(c.ends, check.id)
+	c.recordResult(check, ends, began, running)
+}
+
+// recordResult records whether the target was running at a time, for connections to it that have ended. If it was, its
+// complete answers are sound, and the connections that have ended since are checked again. The caller must hold c.mutex.
+func (c *crashes) recordResult(check crashCheck, ends []connectionEnd, began lovageshift.Millis, running bool) {
+	inMinority, now := c.inMinority(), c.clock.Now()
 	c.log.Info("crashChecked", "target", check.target, "running", running, "inMinority", inMinority, "requests", len(ends))
 	for _, end := range ends {
 		switch {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -190,7 +190,7 @@
 		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineTimeout, "the target did not begin to answer")}
 	default:
 		r.runs++
-		r.recordLoss(slot, err)
+		r.recordLoss(ctx, slot, err)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: outcomeForError(err, placement.Failed)})
 		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonConnectionLost, err.Error())}
 	}
@@ -205,8 +205,13 @@
 	return placement.Abandoned
 }
 
-// recordLoss records that the request may have crashed its target, provided that the error is a lost connection.
-func (r *request) recordLoss(slot *placement.Slot, err error) {
+// recordLoss records that the request may have crashed its target, provided that the error is a lost connection. If the
+// context has ended, that is the cause of the error, and the target is only checked if it was silent.
+func (r *request) recordLoss(ctx context.Context, slot *placement.Slot, err error) {
+	if ctx.Err() != nil {
+		r.checkSilent(slot)
+		return
+	}
 	if !errors.Is(err, upstream.ErrConnectionLost) {
 		return
 	}
@@ -230,11 +235,10 @@
 	if g.clock.Now()-last < silenceToCheck {
 		return
 	}
-	if registered := g.tracker.View().Targets[slot.Target.ID]; registered == nil || registered.Born != slot.Target.Born {
-		g.crashes.recordGone(slot, r.connectionEnd())
-		return
-	}
-	g.crashes.recordEnd(slot, r.connectionEnd())
+	end := r.connectionEnd()
+	registered := g.tracker.View().Targets[slot.Target.ID]
+	end.gone = registered == nil || registered.Born != slot.Target.Born
+	g.crashes.recordEnd(slot, end)
 }
 
 // recordAnswer records that the target has given a complete response. If only the end of the connection shows that it is
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 
@@ -34,12 +35,7 @@
 
 // CrashOf returns the ID of the crash of the target's incarnation that started at born, a wall time in milliseconds.
 func CrashOf(target lovageshift.TargetID, born int64) CrashID {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(string(target))
-	for shift := 0; shift < 64; shift += 8 {
-		_, _ = digest.Write([]byte{byte(born >> shift)})
-	}
-	return CrashID(digest.Sum64())
+	return CrashID(xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(target), uint64(born))))
 }
 
 // Crash is a crash of a target as one process reports it to others.
