Compute a round of updates in one place, and take no lock for no limits

Cause: reportTimeout and MemberCounts.Round each multiplied the interval; each state update took the scheduler's lock to merge its limits, mostly none. Change: roundTime for both; updates without limits are not merged. Result: go test ./exchange passes; nothing else changes.

--- a/exchange/members.go
+++ b/exchange/members.go
@@ -59,9 +59,7 @@
 }
 
 // Round returns the time in which an entry sends an update to every other.
-func (c MemberCounts) Round() lovageshift.Millis {
-	return sendIntervalMillis * lovageshift.Millis(c.RoundIntervals)
-}
+func (c MemberCounts) Round() lovageshift.Millis { return roundTime(c.RoundIntervals) }
 
 // members is the list of the other entries.
 type members struct {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -49,10 +49,14 @@
 	return (listed + perInterval - 1) / perInterval
 }
 
+// roundTime returns how long a round of so many intervals takes.
+func roundTime(intervals int) lovageshift.Millis {
+	return sendIntervalMillis * lovageshift.Millis(intervals)
+}
+
 // reportTimeout returns how long after its last state update an entry counts as reporting.
 func reportTimeout(listed int) lovageshift.Millis {
-	round := sendIntervalMillis * lovageshift.Millis(roundIntervals(listed))
-	return max(liveTimeoutMillis, 2*round+reportSlackMillis)
+	return max(liveTimeoutMillis, 2*roundTime(roundIntervals(listed))+reportSlackMillis)
 }
 
 // nextMembers returns the members whose turn it is and the collectors. The caller must hold n.mutex.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -74,7 +74,9 @@
 	if len(update.Cold) > 0 {
 		g.scheduler.MergeCold(now, coldTargets(update))
 	}
-	g.scheduler.MergeLimits(now, limitReports(update.Limits))
+	if len(update.Limits) > 0 {
+		g.scheduler.MergeLimits(now, limitReports(update.Limits))
+	}
 	g.scheduler.UpdatePeer(now, from, running)
 }
 
