Name averages and limits by what they are

Cause: serviceSpeeds had come to hold the mean work too; comments on limits spoke of targets that tell and of entries that are told; two constants had to be equal without a sign of it. Change: serviceAverages; limits are those that responses name; the level for short requests is the least burst.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -12,7 +12,8 @@
 // limitUnits is the number of units in one request per second in messages.
 const limitUnits = 1000
 
-// recordLimit records what the response of the slot's target says of the target's limit. A rejection may leave it out.
+// recordLimit records the limit that the response of the slot's target names or leaves out. A rejection may leave it out
+// while it is in force.
 func (r *request) recordLimit(slot *placement.Slot, response platform.ResponseHeader) {
 	if response.NotRun && !response.HasLimit {
 		return
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -66,7 +66,7 @@
 
 func (s *Scheduler) grant(now lovageshift.Millis, q *queue, w *Waiter, chosen *targetState) {
 	q.recordGrant(now, w)
-	chosen.speeds.meanWork = movingAverage(chosen.speeds.meanWork, workOf(w.job), ratioWeight)
+	chosen.averages.meanWork = movingAverage(chosen.averages.meanWork, workOf(w.job), ratioWeight)
 	if chosen.limit.inForce(now) {
 		chosen.limit.assigned.take()
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -103,7 +103,7 @@
 	if t.Zone != job.Zone {
 		total += crossZoneCost
 	}
-	if t.limit.inForce(now) && !t.speeds.isShort(job) {
+	if t.limit.inForce(now) && !t.averages.isShort(job) {
 		total -= limitedDiscount
 	}
 	if share := t.failureShare(now); share > 0.05 {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -16,14 +16,14 @@
 	limitBurstShare = 0.25
 	minLimitBurst   = 2
 	// A target with a limit has slots to spare but few requests to fill them with. A request of less work than the average
-	// one gets such a target only if this many may be sent, so that the longer ones go there first.
-	minLevelForShort = 2
+	// one gets such a target only if the full burst may be sent, so that the longer ones go there first.
+	minLevelForShort = minLimitBurst
 	// Taken off the cost of a target with a limit for a request of at least the average work.
 	limitedDiscount = 0.5
 	// A backup assigns up to this share of a target's limit. It does so beside the coordinator if only some entries find the
 	// coordinator unresponsive.
 	backupLimitShare = 0.4
-	// How long an entry reports a limit after a target last told it, and how many it reports at most.
+	// How long an entry reports a limit after a response to it last named it, and how many it reports at most.
 	limitReportMillis lovageshift.Millis = 10_000
 	maxReportedLimits                    = 64
 	millisPerSecond                      = 1000
@@ -39,7 +39,7 @@
 	Coordinator
 )
 
-// Limit is what a target says of the requests per second that it takes from all entries together.
+// Limit is the number of requests per second that a target takes from all entries together, as its responses name it.
 type Limit struct {
 	// PerSecond is the limit if Named is set. A response that names none ends the limit.
 	PerSecond float64
@@ -52,14 +52,16 @@
 	Target TargetHash
 	// Born is the start of the target's incarnation, as in catalog.Target.
 	Born int64
-	Age  lovageshift.Millis // milliseconds since the target said it
+	Age  lovageshift.Millis // milliseconds since the response
 }
 
 // limitState is the limit of one incarnation of a target, as known to one entry.
 type limitState struct {
 	Limit
-	saidAt lovageshift.Millis // when the target said it
-	toldAt lovageshift.Millis // when the target last told this entry, 0 if it never did
+	// respondedAt is when an entry received the newest response that named the limit or no longer did, receivedAt when this
+	// entry last received one, 0 if it never did.
+	respondedAt lovageshift.Millis
+	receivedAt  lovageshift.Millis
 	// assigned bounds what this entry assigns to any entry's requests. accepted bounds this entry's own requests to which an
 	// entry that does not know the limit has assigned the target.
 	assigned tokenBucket
@@ -89,44 +91,44 @@
 
 // inForce reports whether the limit binds the entries.
 func (l *limitState) inForce(now lovageshift.Millis) bool {
-	return l.Named && now-l.saidAt < limitTTL
+	return l.Named && now-l.respondedAt < limitTTL
 }
 
 // rate returns the requests per second that all entries together may send.
 func (l *limitState) rate() float64 { return max(l.PerSecond, minLimit) }
 
-// learn applies what the target said at a time, unless something newer is known. It returns whether the limit changed.
-func (l *limitState) learn(now, saidAt lovageshift.Millis, limit Limit) bool {
-	if saidAt < l.saidAt || (!limit.Named && !l.Named) {
+// learn applies the limit of a response, unless a newer one is known. It returns whether the limit changed.
+func (l *limitState) learn(now, respondedAt lovageshift.Millis, limit Limit) bool {
+	if respondedAt < l.respondedAt || (!limit.Named && !l.Named) {
 		return false
 	}
 	changed := l.Limit != limit
 	if limit.Named && !l.Named {
 		l.assigned, l.accepted = tokenBucket{updated: now}, tokenBucket{updated: now}
 	}
-	l.Limit, l.saidAt = limit, saidAt
+	l.Limit, l.respondedAt = limit, respondedAt
 	return changed
 }
 
-// RecordLimit records what a response from the slot's target says of its limit, and returns whether the limit changed.
+// RecordLimit records the limit that a response from the slot's target names or leaves out, and returns whether it changed.
 func (s *Scheduler) RecordLimit(now lovageshift.Millis, slot *Slot, limit Limit) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	state := &slot.state.limit
 	if limit.Named || state.Named {
-		state.toldAt = now
+		state.receivedAt = now
 	}
 	return state.learn(now, now, limit)
 }
 
-// Limits returns what targets have lately told this entry of their limits, the newest first.
+// Limits returns the limits of responses that this entry has lately received, the newest first.
 func (s *Scheduler) Limits(now lovageshift.Millis) []LimitReport {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var reports []LimitReport
 	for hash, t := range s.byHash {
-		if t.limit.toldAt > 0 && now-t.limit.toldAt < limitReportMillis {
-			reports = append(reports, LimitReport{Limit: t.limit.Limit, Target: hash, Born: t.Born, Age: now - t.limit.saidAt})
+		if t.limit.receivedAt > 0 && now-t.limit.receivedAt < limitReportMillis {
+			reports = append(reports, LimitReport{Limit: t.limit.Limit, Target: hash, Born: t.Born, Age: now - t.limit.respondedAt})
 		}
 	}
 	slices.SortFunc(reports, func(a, b LimitReport) int { return cmp.Compare(a.Age, b.Age) })
@@ -148,7 +150,7 @@
 // even share of the limit, as entries that are cut off from it may do the same.
 func (s *Scheduler) withinLimit(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	count := 1.0
-	if t.speeds.isShort(w.job) {
+	if t.averages.isShort(w.job) {
 		count = minLevelForShort
 	}
 	switch {
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -51,13 +51,13 @@
 	Convey("A target that takes none is still asked now and then", t, func() {
 		So(granted(limited(0), 10_000), ShouldBeBetweenOrEqual, 1, 1+burst)
 	})
-	Convey("The limit is unknown to an entry that nobody told, and kept by one that another entry told", t, func() {
+	Convey("A limit is unknown to an entry without a report, and kept by one to which another entry reported it", t, func() {
 		other := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(1, 100)...)
 		So(granted(other, 1000), ShouldEqual, 400)
 		other.MergeLimits(5000, limited(2).Limits(5000))
 		So(granted(other, 5000), ShouldBeBetweenOrEqual, 7, 9)
 	})
-	Convey("A response without a limit ends it, also for entries told by another one; an older report does not bring it back", t, func() {
+	Convey("A response without a limit ends it, also for entries that get a report; an older report does not bring it back", t, func() {
 		s, other := limited(2), limited(2)
 		old := s.Limits(2000)
 		slot := submit(s, 5000, &placement.Job{}).Slot
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -65,7 +65,7 @@
 	groups          map[GroupID][]*targetState
 	groupsByService map[catalog.ServiceID][]GroupID
 	queues          map[GroupID]*queue
-	speeds          map[catalog.ServiceID]*serviceSpeeds
+	averages        map[catalog.ServiceID]*serviceAverages
 	// peerTimeout is how long another entry's load and reservations count after peerSeenAt.
 	peerTimeout lovageshift.Millis
 	// peerSeenAt is when each other entry last sent a state update or a new, not repeated, request for a slot.
@@ -90,7 +90,7 @@
 		groups:          map[GroupID][]*targetState{},
 		groupsByService: map[catalog.ServiceID][]GroupID{},
 		queues:          map[GroupID]*queue{},
-		speeds:          map[catalog.ServiceID]*serviceSpeeds{},
+		averages:        map[catalog.ServiceID]*serviceAverages{},
 		peerSeenAt:      map[netip.Addr]lovageshift.Millis{},
 		reservations:    map[reservationKey]*reservation{},
 		endedAt:         map[reservationKey]lovageshift.Millis{},
@@ -132,7 +132,7 @@
 	}
 	t := s.targets[id]
 	if t == nil || t.Born != registered.Born || t.Address != registered.Address {
-		fresh := newTargetState(registered, service, s.speedsOf(service.ID))
+		fresh := newTargetState(registered, service, s.averagesOf(service.ID))
 		if t != nil {
 			// The grants within coldWindow count for the new incarnation too, as those requests may have arrived at it,
 			// and so does maybeColdUntil.
@@ -145,13 +145,13 @@
 	t.Target, t.service = registered, service
 }
 
-func (s *Scheduler) speedsOf(service catalog.ServiceID) *serviceSpeeds {
-	speeds := s.speeds[service]
-	if speeds == nil {
-		speeds = &serviceSpeeds{}
-		s.speeds[service] = speeds
+func (s *Scheduler) averagesOf(service catalog.ServiceID) *serviceAverages {
+	averages := s.averages[service]
+	if averages == nil {
+		averages = &serviceAverages{}
+		s.averages[service] = averages
 	}
-	return speeds
+	return averages
 }
 
 // regroup divides each service's targets into groups by rendezvous hashing, so that few targets change their group when
--- a/placement/target.go
+++ b/placement/target.go
@@ -72,8 +72,8 @@
 	// tokenMeasuredAt, 0 before the first measurement.
 	tokenMillis     float64
 	tokenMeasuredAt lovageshift.Millis
-	// speeds is shared by the targets of the service.
-	speeds *serviceSpeeds
+	// averages is shared by the targets of the service.
+	averages *serviceAverages
 	// maybeColdUntil is the time until which the target may be cold although this entry's view does not say so: a
 	// connection to it failed or was lost, or another entry reported it as cold.
 	maybeColdUntil lovageshift.Millis
@@ -84,8 +84,8 @@
 	grantTimes []lovageshift.Millis
 }
 
-func newTargetState(registered *catalog.Target, service *catalog.Service, speeds *serviceSpeeds) *targetState {
-	return &targetState{Target: registered, service: service, speeds: speeds, peers: map[netip.Addr]*peerLoad{}, ownByGranter: map[netip.Addr]int{}}
+func newTargetState(registered *catalog.Target, service *catalog.Service, averages *serviceAverages) *targetState {
+	return &targetState{Target: registered, service: service, averages: averages, peers: map[netip.Addr]*peerLoad{}, ownByGranter: map[netip.Addr]int{}}
 }
 
 func (t *targetState) slots() int {
@@ -180,8 +180,8 @@
 	return latency * promptUnits(promptTokens)
 }
 
-// serviceSpeeds holds averages over a service's targets and requests.
-type serviceSpeeds struct {
+// serviceAverages holds averages over a service's targets and requests.
+type serviceAverages struct {
 	// tokenPerPrompt is the moving average of tokenMillis as a multiple of promptLatency, 0 before the first measurement.
 	tokenPerPrompt float64
 	// meanWork is the moving average of the work of the requests that got slots, as estimated by workOf, 0 before the first.
@@ -189,7 +189,7 @@
 }
 
 // isShort reports whether a job is less work than the average one.
-func (s *serviceSpeeds) isShort(job *Job) bool { return workOf(job) < s.meanWork }
+func (s *serviceAverages) isShort(job *Job) bool { return workOf(job) < s.meanWork }
 
 func (t *targetState) observeToken(now lovageshift.Millis, millis float64) {
 	if now-t.tokenMeasuredAt > tokenTTL {
@@ -198,7 +198,7 @@
 	t.tokenMillis = movingAverage(t.tokenMillis, millis, tokenWeight)
 	t.tokenMeasuredAt = now
 	if t.promptLatency > 0 {
-		t.speeds.tokenPerPrompt = movingAverage(t.speeds.tokenPerPrompt, t.tokenMillis/t.promptLatency, ratioWeight)
+		t.averages.tokenPerPrompt = movingAverage(t.averages.tokenPerPrompt, t.tokenMillis/t.promptLatency, ratioWeight)
 	}
 }
 
@@ -208,7 +208,7 @@
 	if t.tokenMillis > 0 && now-t.tokenMeasuredAt <= tokenTTL {
 		return t.tokenMillis
 	}
-	return t.promptLatency * t.speeds.tokenPerPrompt
+	return t.promptLatency * t.averages.tokenPerPrompt
 }
 
 // completes reports whether the target is expected to complete the job by its deadline, and with it to spare if the output
--- a/reservation/limits_test.go
+++ b/reservation/limits_test.go
@@ -22,12 +22,12 @@
 )
 
 // From the contact time after it named a limit, a target may get in limitWindow limitOvershoot times what the limit allows and
-// limitSlack more, through entries that got such a response toldMillis before.
+// limitSlack more, through entries that got such a response notifiedMillis before.
 const (
 	limitWindow    lovageshift.Millis = 4000
 	limitOvershoot                    = 1.5
 	limitSlack                        = 5
-	toldMillis     lovageshift.Millis = 500
+	notifiedMillis lovageshift.Millis = 500
 )
 
 // limitScenario is an installation some of whose targets name a limit from namedMillis on.
@@ -62,7 +62,7 @@
 	cutTo     lovageshift.Millis
 	faultAt   lovageshift.Millis // the end of its last fault
 	next      int                // the next receiver of an update
-	told      map[int]lovageshift.Millis
+	notified  map[int]lovageshift.Millis
 }
 
 // limitArrival is a request at a target through an entry that the rule covers.
@@ -130,7 +130,7 @@
 	e.scheduler.SetView(now, e.sim.view)
 	e.client = reservation.NewClient(e.scheduler, e.sim.clock, nil)
 	e.client.SetPeers(e)
-	e.faultAt, e.told = now, map[int]lovageshift.Millis{}
+	e.faultAt, e.notified = now, map[int]lovageshift.Millis{}
 }
 
 func newLimitSimulation(s limitScenario, seed uint64) *limitSimulation {
@@ -214,7 +214,7 @@
 // serve sends one request: it reserves a slot, reaches the target, gets a response header and later the end.
 func (s *limitSimulation) serve(e *limitEntry, started, service lovageshift.Millis) {
 	s.mutex.Lock()
-	client, scheduler, told := e.client, e.scheduler, e.told
+	client, scheduler, notified := e.client, e.scheduler, e.notified
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -228,8 +228,8 @@
 	_, _ = fmt.Sscanf(string(slot.Target.ID), "t-%d", &target)
 	s.mutex.Lock()
 	now = s.clock.Now()
-	toldAt, knows := told[target]
-	if knows && now-toldAt >= toldMillis && !e.old && now-e.faultAt >= s.contact && now >= e.cutTo {
+	notifiedAt, knows := notified[target]
+	if knows && now-notifiedAt >= notifiedMillis && !e.old && now-e.faultAt >= s.contact && now >= e.cutTo {
 		s.arrivals = append(s.arrivals, limitArrival{target, now - started})
 	}
 	s.mutex.Unlock()
@@ -238,8 +238,8 @@
 	named := target < s.limited && now-started >= namedMillis
 	if named {
 		s.mutex.Lock()
-		if _, found := told[target]; !found {
-			told[target] = now
+		if _, found := notified[target]; !found {
+			notified[target] = now
 		}
 		s.mutex.Unlock()
 	}
