Write a fingerprint in one way

Cause: the entry and the gateway each had a function for its hexadecimal form, the second one new. Change: Fingerprint.String for both. Result: go vet, go test ./entry ./quarantine pass; the text is the same.

--- a/entry/body.go
+++ b/entry/body.go
@@ -225,8 +225,3 @@
 	_, _ = digest.Write(body)
 	return lovageshift.Fingerprint(digest.Sum64())
 }
-
-// formatFingerprint returns the fingerprint in hexadecimal.
-func formatFingerprint(fingerprint lovageshift.Fingerprint) string {
-	return strconv.FormatUint(uint64(fingerprint), 16)
-}
--- a/entry/eligible.go
+++ b/entry/eligible.go
@@ -62,7 +62,7 @@
 // candidate with the highest rendezvous score for the fingerprint, so that all entries with the same candidates dispatch the
 // suspect to the same target.
 func suspectTarget(fingerprint lovageshift.Fingerprint, candidates, eligible []lovageshift.TargetID) []lovageshift.TargetID {
-	target := membership.Owner("suspect/"+formatFingerprint(fingerprint), candidates)
+	target := membership.Owner("suspect/"+fingerprint.String(), candidates)
 	if slices.Contains(eligible, target) {
 		return []lovageshift.TargetID{target}
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strconv"
 	"sync"
 
 	"lovageshift"
@@ -39,7 +38,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	suspect := s.register.RecordCrash(now, r.fingerprint())
-	s.log.Info("suspect", "request", r.headers.ID, "fingerprint", hexadecimal(r.fingerprint()), "crashes", suspect.Crashes,
+	s.log.Info("suspect", "request", r.headers.ID, "fingerprint", r.fingerprint().String(), "crashes", suspect.Crashes,
 		"target", r.summary.target, "parts", r.partIDs(), "events", r.summary.targetEvents)
 }
 
@@ -48,14 +47,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.register.Clear(r.fingerprint()) {
-		s.log.Info("suspectCleared", "request", r.headers.ID, "fingerprint", hexadecimal(r.fingerprint()), "target", r.summary.target)
+		s.log.Info("suspectCleared", "request", r.headers.ID, "fingerprint", r.fingerprint().String(), "target", r.summary.target)
 	}
 }
 
-func hexadecimal(fingerprint lovageshift.Fingerprint) string {
-	return strconv.FormatUint(uint64(fingerprint), 16)
-}
-
 // refuses reports whether the request with the fingerprint has reached crashesToRefuse and must be refused.
 func (s *suspects) refuses(now lovageshift.Millis, fingerprint lovageshift.Fingerprint) bool {
 	s.mutex.Lock()
--- a/ids.go
+++ b/ids.go
@@ -1,6 +1,9 @@
 package lovageshift
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // AccountID identifies a client account.
 type AccountID string
@@ -55,5 +58,8 @@
 // the client account, the path and the body.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Millicores is a processor's capacity in thousandths of a core.
 type Millicores int
