Share the loop of callers in the gateway's tests

Cause: three tests of several entries each had their own. Change: repeat, in installation_test.go; loads, pauses and assertions stay, the sound callers draw their themes from one counter in place of four.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -75,30 +75,18 @@
 	if options.silent { // each request then takes as long as its caller waits
 		end, fatalCallers = time.Now().Add(10*time.Second), 6
 	}
-	for range fatalCallers {
-		callers.Go(func() error {
-			for time.Now().Before(end) {
-				send("bad", crashingPart)
-				time.Sleep(150 * time.Millisecond)
-			}
-			return nil
-		})
-	}
-	for caller := range 4 {
-		callers.Go(func() error {
-			for count := caller; time.Now().Before(end); count += 4 {
-				reply := send("sound", fmt.Sprintf("%x", 100+count%20))
-				if time.Now().After(end.Add(-time.Second)) {
-					sound.Add(1)
-					if reply.Complete && reply.Status == http.StatusOK {
-						answered.Add(1)
-					}
-				}
-				time.Sleep(20 * time.Millisecond)
-			}
-			return nil
-		})
-	}
+	repeat(&callers, fatalCallers, end, 150*time.Millisecond, func() { send("bad", crashingPart) })
+	var themes atomic.Int64
+	repeat(&callers, 4, end, 20*time.Millisecond, func() {
+		reply := send("sound", fmt.Sprintf("%x", 100+themes.Add(1)%20))
+		if time.Now().Before(end.Add(-time.Second)) {
+			return
+		}
+		sound.Add(1)
+		if reply.Complete && reply.Status == http.StatusOK {
+			answered.Add(1)
+		}
+	})
 	_ = callers.Wait()
 	So(i.lateRequests(), ShouldBeLessThanOrEqualTo, maxLateRequests)
 	So(answered.Load(), ShouldBeGreaterThan, sound.Load()*9/10)
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -145,6 +145,19 @@
 	return standin.Send(context.Background(), http.DefaultTransport, address, request)
 }
 
+// repeat starts callers in the group, each of which sends one request after the other until the end, with pauses.
+func repeat(group *errgroup.Group, callers int, end time.Time, pause time.Duration, send func()) {
+	for range callers {
+		group.Go(func() error {
+			for time.Now().Before(end) {
+				send()
+				time.Sleep(pause)
+			}
+			return nil
+		})
+	}
+}
+
 // received returns the requests that reached the targets.
 func (i *installation) received() (all []standin.ReceivedRequest) {
 	for _, h := range i.hosts {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -63,20 +63,14 @@
 	var sentCount, answeredCount atomic.Int64
 	var callers errgroup.Group
 	end := time.Now().Add(duration)
-	for range count {
-		callers.Go(func() error {
-			for time.Now().Before(end) {
-				n := sentCount.Add(1)
-				id := fmt.Sprintf("r-%d-%d", end.UnixNano(), n)
-				reply := i.send(int(n), standin.CallerRequest{ID: id, Path: "/chat/x", Body: id})
-				if reply.Complete && reply.Status == http.StatusOK {
-					answeredCount.Add(1)
-				}
-				time.Sleep(30 * time.Millisecond)
-			}
-			return nil
-		})
-	}
+	repeat(&callers, count, end, 30*time.Millisecond, func() {
+		n := sentCount.Add(1)
+		id := fmt.Sprintf("r-%d-%d", end.UnixNano(), n)
+		reply := i.send(int(n), standin.CallerRequest{ID: id, Path: "/chat/x", Body: id})
+		if reply.Complete && reply.Status == http.StatusOK {
+			answeredCount.Add(1)
+		}
+	})
 	_ = callers.Wait()
 	return sentCount.Load(), answeredCount.Load()
 }
