--- a/exchange/builds_test.go
+++ b/exchange/builds_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -84,6 +85,29 @@
 	})
 }
 
+// An entry that started later than the receiver has used nothing before its first update; of others that is not known.
+func TestFirstUpdateOfRestartedEntry(t *testing.T) {
+	address := netip.MustParseAddr("127.0.0.2")
+	for uptime, isKnown := range map[uint64]bool{0: false, 1: true, 1 << 40: false} {
+		Convey(fmt.Sprintf("Its use before is known only if it started later: it has run for %d ms", uptime), t, func() {
+			port := freePort()
+			e := newEntry(port, "127.0.0.1")
+			defer e.stop()
+			sender := newPeerSocket(port, "127.0.0.2", "127.0.0.1")
+			defer func() { _ = sender.Close() }()
+			time.Sleep(20 * time.Millisecond)
+			sender.sendUpdate(&wire.EntryNews{Incarnation: 1, Sequence: 1, UptimeMillis: uptime, Accounts: []*wire.AccountUse{{Account: 9, Used: 500}}})
+			So(e.eventually(func(r *recorder) bool { return r.updates[address] != nil }), ShouldBeTrue)
+			So(e.previous != nil, ShouldEqual, isKnown)
+			if isKnown {
+				use, known := e.previous.Of(9)
+				So(use, ShouldBeNil)
+				So(known, ShouldBeTrue)
+			}
+		})
+	}
+}
+
 // The socket's buffer holds a batch, so that the entry gets each datagram however slow it is.
 const (
 	invalidBatches    = 20
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -22,6 +22,7 @@
 type recorder struct {
 	mutex    sync.Mutex
 	updates  map[netip.Addr]*wire.EntryNews // last update, by sender
+	previous *exchange.AccountUsage         // that came with the last update
 	counts   exchange.MemberCounts
 	echoedAt lovageshift.Millis // highest echoed time that came with an update
 	refused  uint32             // the only fingerprint in the field Refused of its own updates
@@ -31,10 +32,10 @@
 	return &wire.EntryNews{Refused: []uint32{r.refused}}
 }
 
-func (r *recorder) ApplyPeerUpdate(_ lovageshift.Millis, from netip.Addr, _ *exchange.AccountUsage, echoedAt lovageshift.Millis, update *wire.EntryNews) {
+func (r *recorder) ApplyPeerUpdate(_ lovageshift.Millis, from netip.Addr, previous *exchange.AccountUsage, echoedAt lovageshift.Millis, update *wire.EntryNews) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.updates[from] = update
+	r.updates[from], r.previous = update, previous
 	r.echoedAt = max(r.echoedAt, echoedAt)
 }
 
