--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -61,6 +61,8 @@
 	// outage.
 	storeBackAt      lovageshift.Millis
 	storeUnreachable bool
+	// era is the store's era in its last response.
+	era int64
 
 	mutex sync.Mutex
 	// storeRevision is the store revision of the records, 0 before the first were read. It changes under the mutex
@@ -225,6 +227,16 @@
 	t.metrics.Add(metrics.StoreCalls, "answered", 1)
 }
 
+// noteEra logs if a response of the store is of another era than the one before. The parameter position is the revision that
+// this entry asked from.
+func (t *Tracker) noteEra(page platform.Page, position int64) {
+	if page.Era != t.era && t.era > 0 {
+		t.log.Info("storeEraChanged", "before", t.era, "era", page.Era, "position", position, "revision", page.Revision,
+			"records", len(page.Items))
+	}
+	t.era = page.Era
+}
+
 // setRevision sets the store revision of the records. The store returned that revision to a call sent at sentAt
 // (Clock.SinceBoot), so no newer revision existed at that time.
 func (t *Tracker) setRevision(revision int64, sentAt lovageshift.Millis) {
@@ -237,18 +249,18 @@
 	t.confirmedAt = max(t.confirmedAt, sentAt)
 }
 
-// readPages returns the records of the first maxPages pages in the store, and the store revision of the first page.
-func readPages(ctx context.Context, store Store, address string) ([]platform.Item, int64, error) {
+// readPages returns the records of the first maxPages pages in the store, and the first page.
+func readPages(ctx context.Context, store Store, address string) ([]platform.Item, platform.Page, error) {
 	var items []platform.Item
-	var revision int64
+	var first platform.Page
 	after := ""
 	for pageNumber := range maxPages {
 		page, err := store.Range(ctx, address, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, first, err
 		}
 		if pageNumber == 0 {
-			revision = page.Revision
+			first = page
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -256,7 +268,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	return items, revision, nil
+	return items, first, nil
 }
 
 // ReadView reads all records once. It returns the view that a newly started entry would publish and the changes that
@@ -275,15 +287,16 @@
 // starts from that revision, as the pages are not one consistent snapshot: a record may change while they are read.
 func (t *Tracker) readAll(ctx context.Context) (int64, error) {
 	sentAt := t.clock.SinceBoot()
-	items, revision, err := readPages(ctx, t.store, t.address())
+	items, first, err := readPages(ctx, t.store, t.address())
 	if err != nil {
 		return 0, err
 	}
 	t.recordSuccess()
+	t.noteEra(first, t.storeRevision)
 	t.records.Replace(t.clock.Now(), t.storeBackAt, items)
 	t.publish()
-	t.setRevision(revision, sentAt)
-	return revision, nil
+	t.setRevision(first.Revision, sentAt)
+	return first.Revision, nil
 }
 
 // watchOnce waits for changes after the revision, publishes them and, as a reader, passes them on. It returns the revision
@@ -295,6 +308,7 @@
 		return revision, err
 	}
 	t.recordSuccess()
+	t.noteEra(page, revision)
 	if page.Revision > 0 && page.Revision < revision {
 		// Another entry sent changes up to a revision that the store does not have.
 		return revision, platform.ErrHistoryGone
