Keep an entry's knowledge that it is behind when an equal revision is reported

Callers saw nothing yet: found while building the test for the store that comes back older. An entry that has lost the changes of the readers asks the store 0.8 s after it saw a newer revision.

Cause: a report of its own revision, by another entry that is behind as well, cleared that mark, so that in a large fleet the wait could start anew with each state update. The tests in virtual time did not show it: only readers reported there, and ages came from the kernel's clock, which stands still.

Change: such a report confirms the revision and nothing else.

--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -129,7 +129,6 @@
 	switch {
 	case t.storeRevision == 0 || revision < t.storeRevision:
 	case revision == t.storeRevision:
-		t.behindSince = 0
 		t.confirmedAt = max(t.confirmedAt, at)
 	case t.behindSince == 0:
 		t.behindSince = t.clock.Now()
