Order the store's revisions by era, so that a store that comes back older is read anew

Cause: the position of a watch, the changes passed from readers to followers and the reports by which entries confirm each other's copy were bare revisions. Once the counter had passed the old position, a watch from there succeeded and the records written again below it were never read; and a revision of the new era confirmed the same number of the old one, so that the copy's age, the bound for keys, did not rise.

Change: lovageshift.StorePosition orders (era, revision) everywhere. A new era is read whole; what the copy may lack is kept for 5 s (zones out of service, removals) or 2 s (targets) until it is written again. Responses, changes and reports of an era before, or of builds that name none, say nothing. An entry whose catalog is older than one that another entry has at no newer position is not confirmed. A reader that had to read everything makes the others ask.

Why it works: no comparison across eras is left, and what is kept is never older than what the entry acted upon.

--- a/discovery/changes_test.go
+++ b/discovery/changes_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"lovageshift"
 	"lovageshift/discovery"
 	"lovageshift/platform"
 )
@@ -78,7 +79,7 @@
 		r := newReadersAndFollowers(3, 0)
 		defer r.stop()
 		time.Sleep(time.Second)
-		r.trackers[2].Receive(discovery.Changes{From: 1, To: 9, Items: []platform.Item{catalogItem(99)}})
+		r.trackers[2].Receive(discovery.Changes{Era: 1, From: 1, To: 9, Items: []platform.Item{catalogItem(99)}})
 		time.Sleep(time.Second)
 		if version := r.trackers[2].View().Catalog.Version; version != 4 {
 			t.Errorf("the entry has version %d", version)
@@ -94,7 +95,7 @@
 		time.Sleep(time.Second)
 		r.setLoss(1)
 		r.store.write(catalogItem(5))
-		r.trackers[2].Confirm(3, 0) // another entry's state update shows a newer revision
+		r.trackers[2].Confirm(0, discovery.Report{Position: lovageshift.StorePosition{Era: 1, Revision: 3}}) // another entry's state update shows a newer revision
 		time.Sleep(2 * time.Second)
 		if version := r.trackers[2].View().Catalog.Version; version != 5 {
 			t.Errorf("the entry has version %d", version)
@@ -107,7 +108,7 @@
 	r := newReadersAndFollowers(3, 0)
 	defer r.stop()
 	time.Sleep(200 * time.Millisecond)
-	r.trackers[2].Receive(discovery.Changes{From: 1, To: 1 << 40})
+	r.trackers[2].Receive(discovery.Changes{Era: 1, From: 1, To: 1 << 40})
 	time.Sleep(200 * time.Millisecond)
 	r.store.write(catalogItem(5))
 	for range 500 { // 5 s, the time within which a withdrawn key must no longer work
@@ -126,11 +127,13 @@
 		defer r.stop()
 		time.Sleep(time.Second)
 		follower := r.trackers[2]
-		revision, _ := follower.RevisionAge()
+		report := follower.Report()
+		newer := report
+		newer.Position.Revision++
 		r.store.write(catalogItem(5))
 		for range 12 {
-			follower.Confirm(revision+1, r.clock.SinceBoot())
-			follower.Confirm(revision, r.clock.SinceBoot()-500)
+			follower.Confirm(r.clock.SinceBoot(), newer)
+			follower.Confirm(r.clock.SinceBoot()-500, report)
 			time.Sleep(100 * time.Millisecond)
 		}
 		time.Sleep(200 * time.Millisecond)
--- /dev/null
+++ b/discovery/confirm.go
@@ -0,0 +1,76 @@
+package discovery
+
+import "lovageshift"
+
+// A catalog that the store has lost counts for this long after an entry that has it reported it. All entries report several
+// times in it.
+const lostCatalogMillis lovageshift.Millis = 5000
+
+// Report is what an entry tells the others of its local copy.
+type Report struct {
+	// Position is the store position of the copy, without a revision before the first read.
+	Position lovageshift.StorePosition
+	// Catalog is the version of the copy's catalog, 0 if there is none or an entry of an earlier build does not say.
+	Catalog lovageshift.Revision
+	// Age is the time since the last moment at which the store is known to have had nothing newer than Position. It includes
+	// time for which the VM was suspended. It is neverConfirmed if there was no confirmation.
+	Age lovageshift.Millis
+}
+
+// Report returns the present state of the local copy.
+func (t *Tracker) Report() Report {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	report := Report{Position: t.position, Catalog: t.catalog, Age: neverConfirmed}
+	if t.confirmedAt != 0 {
+		report.Age = t.clock.SinceBoot() - t.confirmedAt
+	}
+	return report
+}
+
+// Confirm takes over another entry's report. Its position was the store's newest at the given time, in milliseconds of this
+// entry's Clock.SinceBoot. An older position, or one without an era if this entry's has one, says nothing. If the position
+// is newer than that of this entry's local copy, the copy is behind; maxBehindMillis counts from the first such report.
+func (t *Tracker) Confirm(at lovageshift.Millis, report Report) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	order := report.Position.Compare(t.position)
+	if order <= 0 && report.Catalog > t.catalog {
+		t.lostCatalog, t.lostCatalogAt = report.Catalog, t.clock.Now()
+	}
+	switch {
+	case t.position.Revision == 0 || order < 0:
+	case order == 0:
+		t.confirm(at)
+	case t.behindSince == 0:
+		t.behindSince = t.clock.Now()
+	}
+}
+
+// setPosition sets the store position of the records. The store returned that position to a call sent at sentAt
+// (Clock.SinceBoot), so it had nothing newer at that time.
+func (t *Tracker) setPosition(position lovageshift.StorePosition, sentAt lovageshift.Millis) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if position != t.position {
+		t.behindSince = 0
+	}
+	t.position = position
+	t.catalog = t.records.catalogVersion()
+	t.catalogUnreadable = t.records.catalogUnreadable
+	t.confirm(sentAt)
+}
+
+// confirm records that the store had nothing newer than position at the time (Clock.SinceBoot). That does not count while
+// the store has lost a catalog that was in force: until it is written again, nothing tells which keys are valid.
+func (t *Tracker) confirm(at lovageshift.Millis) {
+	if !t.lacksCatalog() {
+		t.confirmedAt = max(t.confirmedAt, at)
+	}
+}
+
+// lacksCatalog reports whether another entry has lately reported a newer catalog than this one, though its position is not
+// newer. A catalog that this entry cannot decode does not count: the one before stays in force.
+func (t *Tracker) lacksCatalog() bool {
+	return t.lostCatalog > t.catalog && t.clock.Now()-t.lostCatalogAt < lostCatalogMillis && !t.catalogUnreadable
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -60,20 +60,20 @@
 }
 
 // awaitChanges waits for the next changes from a reader, or for followCheckMillis, and applies them. It returns the
-// revision of the local copy.
-func (t *Tracker) awaitChanges(ctx context.Context, revision int64) int64 {
+// position of the local copy.
+func (t *Tracker) awaitChanges(ctx context.Context, position lovageshift.StorePosition) lovageshift.StorePosition {
 	timer := time.NewTimer(followCheckMillis.Duration())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case changes := <-t.received:
-		revision = t.applyChanges(revision, changes)
+		position = t.applyChanges(position, changes)
 	case <-timer.C:
 	}
 	if t.records.Expire(t.clock.Now()) {
 		t.publish()
 	}
-	return revision
+	return position
 }
 
 // discardReceived discards the changes that have been received. A reader does not apply those of another reader, as it
@@ -88,19 +88,23 @@
 	}
 }
 
-// applyChanges applies changes from a reader if the local copy has the revision that they start from or a later one. It
-// returns the revision of the local copy. The time of the last confirmation stays: if the store had no newer revision than
-// the old one then, it had none newer than the new one.
-func (t *Tracker) applyChanges(revision int64, changes Changes) int64 {
+// applyChanges applies changes from a reader if they are of the local copy's era, and the copy has the revision that they
+// start from or a later one. It returns the position of the local copy. The time of the last confirmation stays: if the
+// store had nothing newer than the old position then, it had nothing newer than the new one.
+func (t *Tracker) applyChanges(position lovageshift.StorePosition, changes Changes) lovageshift.StorePosition {
+	to := lovageshift.StorePosition{Era: changes.Era, Revision: changes.To}
 	switch {
-	case changes.To <= revision:
-		return revision
-	case changes.ReadStore:
+	case changes.Era == 0 && position.Era > 0: // a reader of an earlier build, which may have missed a new era
 		t.requestFetch()
-		return revision
-	case changes.From > revision: // changes before these were lost
+		return position
+	case to.Compare(position) <= 0:
+		return position
+	case changes.ReadStore || changes.Era > position.Era:
+		t.requestFetch()
+		return position
+	case changes.From > position.Revision: // changes before these were lost
 		t.noteBehind()
-		return revision
+		return position
 	}
 	now := t.clock.Now()
 	if changes.StoreBack > 0 {
@@ -113,8 +117,8 @@
 	}
 	t.publish()
 	t.metrics.Add(metrics.StoreCalls, "savedByReader", 1)
-	t.setRevision(changes.To, 0)
-	return changes.To
+	t.setPosition(to, 0)
+	return to
 }
 
 func (t *Tracker) requestFetch() {
@@ -132,7 +136,19 @@
 }
 
 // passOn passes the changes of a watch to the function set by SetReader, to be sent to the other entries.
-func (t *Tracker) passOn(from, to int64, items []platform.Item) {
+func (t *Tracker) passOn(from int64, to lovageshift.StorePosition, items []platform.Item) {
+	t.send(splitChanges(from, to, items))
+}
+
+// passOnRead makes the other entries read the store after this one, as a reader, has read all its records: what changed
+// since the position before is not known.
+func (t *Tracker) passOnRead(before, position lovageshift.StorePosition) {
+	if t.isReader() && before.Revision > 0 && before.Older(position) {
+		t.send([]Changes{{Era: position.Era, To: position.Revision, ReadStore: true}})
+	}
+}
+
+func (t *Tracker) send(parts []Changes) {
 	if t.publishChanges == nil {
 		return
 	}
@@ -140,7 +156,7 @@
 	if t.storeBackAt > 0 {
 		storeBack = max(t.clock.Now()-t.storeBackAt, 1)
 	}
-	for _, part := range splitChanges(from, to, items) {
+	for _, part := range parts {
 		part.StoreBack = storeBack
 		t.publishChanges(part)
 	}
--- a/discovery/memorystore_test.go
+++ b/discovery/memorystore_test.go
@@ -92,6 +92,13 @@
 	return states
 }
 
+// writtenSince reports whether the record was written at the time or later.
+func (m *memoryStore) writtenSince(at time.Time, key string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.ContainsFunc(m.history, func(w write) bool { return w.item.Key == key && !w.at.Before(at) })
+}
+
 func (m *memoryStore) Range(context.Context, string, string) (platform.Page, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -99,7 +106,7 @@
 	if m.away {
 		return platform.Page{}, platform.ErrStoreRefused
 	}
-	page := platform.Page{Revision: m.revision, Era: m.era}
+	page := platform.Page{Position: lovageshift.StorePosition{Era: m.era, Revision: m.revision}}
 	for _, item := range m.items {
 		page.Items = append(page.Items, item)
 	}
@@ -138,7 +145,7 @@
 	case after > m.revision:
 		return platform.Page{}, nil, platform.ErrHistoryGone
 	}
-	page := platform.Page{Revision: m.revision, Era: m.era}
+	page := platform.Page{Position: lovageshift.StorePosition{Era: m.era, Revision: m.revision}}
 	for _, w := range m.history {
 		if w.item.Revision > after {
 			page.Items = append(page.Items, w.item)
--- a/discovery/readers_test.go
+++ b/discovery/readers_test.go
@@ -133,15 +133,15 @@
 	return r.sentKeys
 }
 
-// confirm passes the revisions of the readers and of one other entry to all entries, as state updates do.
+// confirm passes the reports of the readers and of one other entry to all entries, as state updates do.
 func (r *readersAndFollowers) confirm() {
 	trackers := r.all()
 	senders := append([]*discovery.Tracker{trackers[rand.IntN(len(trackers))]}, trackers[:readers]...)
 	for _, sender := range senders {
-		revision, age := sender.RevisionAge()
+		report := sender.Report()
 		for _, tracker := range trackers {
 			if tracker != sender && !r.lost() {
-				tracker.Confirm(revision, r.clock.SinceBoot()-age)
+				tracker.Confirm(r.clock.SinceBoot()-report.Age, report)
 			}
 		}
 	}
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -13,6 +13,9 @@
 	// A draining incarnation is forgotten once its last draining record was applied longer ago than this and the local
 	// copy has no target of its id. Until then, another of its records that is read later does not put it back into use.
 	drainingRetentionMillis lovageshift.Millis = 60_000
+	// For this long after the store came back from an older copy, targets, the store and the operator write again what it
+	// lost: targets renew their records, and the store removes those that are not renewed.
+	restoreGraceMillis lovageshift.Millis = 5000
 )
 
 // Change is one change of an entry's local copy, or a record that was not applied because it was malformed or was the
@@ -41,6 +44,12 @@
 	lapsed map[lovageshift.TargetID]lovageshift.Millis
 	// zoneReturnedAt holds when the entry applied the last return to service of each zone.
 	zoneReturnedAt map[lovageshift.ZoneID]lovageshift.Millis
+	// catalogUnreadable is set if the last record of the catalog was not applied, as it was malformed or removed.
+	catalogUnreadable bool
+	// gone holds the last incarnations of the targets that were removed, for drainingRetentionMillis.
+	gone map[lovageshift.TargetID]goneTarget
+	// restored is what the last return of the store from an older copy has left open.
+	restored restored
 	// changes are the changes since the last call of Changes.
 	changes []Change
 }
@@ -51,6 +60,12 @@
 	born int64
 }
 
+// goneTarget is the last record of a target before its removal.
+type goneTarget struct {
+	born, sequence int64
+	at             lovageshift.Millis // when it was removed
+}
+
 // NewRecords returns an empty copy.
 func NewRecords() *Records {
 	return &Records{
@@ -59,6 +74,7 @@
 		draining:       map[incarnation]lovageshift.Millis{},
 		lapsed:         map[lovageshift.TargetID]lovageshift.Millis{},
 		zoneReturnedAt: map[lovageshift.ZoneID]lovageshift.Millis{},
+		gone:           map[lovageshift.TargetID]goneTarget{},
 	}
 }
 
@@ -66,25 +82,18 @@
 // the list counts as removed, and a zone that is not in the list as back in service. If the list has no catalog, the
 // current one stays. The parameter storeBackAt is as in Apply.
 func (r *Records) Replace(now, storeBackAt lovageshift.Millis, items []platform.Item) {
-	targets := map[lovageshift.TargetID]bool{}
-	zones := map[lovageshift.ZoneID]bool{}
+	listed := map[string]bool{}
 	for _, item := range items {
-		switch record, name := platform.Classify(item.Key); record {
-		case platform.RecordTarget:
-			targets[lovageshift.TargetID(name)] = true
-		case platform.RecordZoneOut:
-			zones[lovageshift.ZoneID(name)] = true
-		default:
-		}
+		listed[item.Key] = true
 		r.Apply(now, storeBackAt, item)
 	}
 	for id := range r.targets {
-		if !targets[id] {
+		if !listed[platform.TargetKey(id)] {
 			r.removeTarget(now, storeBackAt, id)
 		}
 	}
 	for zone := range r.zonesOut {
-		if !zones[zone] {
+		if !listed[platform.ZoneOutKey(zone)] {
 			r.restoreZone(now, zone)
 		}
 	}
@@ -97,6 +106,7 @@
 	case platform.RecordCatalog:
 		r.applyCatalog(item)
 	case platform.RecordTarget:
+		delete(r.restored.held, lovageshift.TargetID(name))
 		r.applyTarget(now, storeBackAt, lovageshift.TargetID(name), item)
 	case platform.RecordZoneOut:
 		r.applyZone(now, lovageshift.ZoneID(name), item)
@@ -108,10 +118,12 @@
 // was removed or is malformed.
 func (r *Records) applyCatalog(item platform.Item) {
 	if item.Deleted {
+		r.catalogUnreadable = true
 		r.addChange(Change{Kind: "catalogKept", Detail: "the record was removed"})
 		return
 	}
 	decoded, err := platform.DecodeCatalog(item.Value)
+	r.catalogUnreadable = err != nil
 	if err != nil {
 		r.addChange(Change{Kind: "catalogKept", Detail: err.Error()})
 		return
@@ -133,7 +145,7 @@
 	target, err := platform.DecodeTarget(string(id), item.Value)
 	if err != nil {
 		r.addChange(Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
-		r.dropTarget(id)
+		r.dropTarget(now, id)
 		return
 	}
 	known := r.targets[id]
@@ -164,6 +176,7 @@
 		target.ColdUntil = max(target.ColdUntil, known.ColdUntil)
 	}
 	delete(r.lapsed, id)
+	delete(r.gone, id)
 	r.targets[id] = target
 	switch {
 	case !same:
@@ -195,13 +208,14 @@
 		}
 		return
 	}
-	r.dropTarget(id)
+	r.dropTarget(now, id)
 }
 
 // dropTarget removes the target from the local copy at once.
-func (r *Records) dropTarget(id lovageshift.TargetID) {
+func (r *Records) dropTarget(now lovageshift.Millis, id lovageshift.TargetID) {
 	if target := r.targets[id]; target != nil {
 		delete(r.targets, id)
+		r.gone[id] = goneTarget{born: target.Born, sequence: target.Sequence, at: now}
 		r.addChange(Change{Kind: "targetGone", Target: id, Zone: target.Zone})
 	}
 	delete(r.lapsed, id)
@@ -209,6 +223,7 @@
 
 // applyZone takes the zone out of service, or returns it to service if the record was removed.
 func (r *Records) applyZone(now lovageshift.Millis, zone lovageshift.ZoneID, item platform.Item) {
+	delete(r.restored.zones, zone)
 	if item.Deleted {
 		r.restoreZone(now, zone)
 		return
@@ -227,13 +242,14 @@
 	}
 }
 
-// Expire removes the lapsed targets that did not register again in time, and forgets draining incarnations by the rule
-// at drainingRetentionMillis. It reports whether it removed a target.
+// Expire removes the lapsed targets that did not register again in time, settles what a restored store has left open (see
+// Restore), and forgets draining and removed incarnations by the rule at drainingRetentionMillis. It reports whether it
+// changed a target or a zone.
 func (r *Records) Expire(now lovageshift.Millis) bool {
-	changed := false
+	changed := r.settleRestored(now)
 	for id, removeAt := range r.lapsed {
 		if now >= removeAt {
-			r.dropTarget(id)
+			r.dropTarget(now, id)
 			changed = true
 		}
 	}
@@ -242,9 +258,27 @@
 			delete(r.draining, inc)
 		}
 	}
+	for id, removed := range r.gone {
+		if now-removed.at > drainingRetentionMillis {
+			delete(r.gone, id)
+		}
+	}
 	return changed
 }
 
+// awaitsExpiry reports whether Expire will change a target or a zone soon.
+func (r *Records) awaitsExpiry() bool {
+	return len(r.lapsed) > 0 || len(r.restored.held) > 0 || len(r.restored.zones) > 0
+}
+
+// catalogVersion returns the version of the catalog, 0 if there is none.
+func (r *Records) catalogVersion() lovageshift.Revision {
+	if r.catalog == nil {
+		return 0
+	}
+	return r.catalog.Version
+}
+
 // View returns a snapshot of the records. A target of a zone that came back into service is cold for at least its
 // service's cold period (catalog.Service.ColdMillis) from the zone's return.
 func (r *Records) View(now lovageshift.Millis) *catalog.View {
--- /dev/null
+++ b/discovery/restored.go
@@ -0,0 +1,79 @@
+package discovery
+
+import (
+	"lovageshift"
+	"lovageshift/platform"
+)
+
+// restored is what a return of the store from an older copy has left open until the time settleAt (Clock.Now).
+type restored struct {
+	settleAt lovageshift.Millis
+	// held are the records of targets that had been removed before the store returned.
+	held map[lovageshift.TargetID]platform.Item
+	// zones are the availability zones out of service of which the store has no record.
+	zones map[lovageshift.ZoneID]bool
+}
+
+// Restore applies a complete list of the records of a store that came back from an older copy. What the list lacks or holds
+// may be out of date until it is written again, so for restoreGraceMillis the local copy keeps what it knew: a target
+// that was removed stays so unless it writes a record, and a zone out of service stays so unless the operator writes of it.
+// A target that the list lacks lapses, as after an outage. The catalog changes only to a newer version.
+func (r *Records) Restore(now lovageshift.Millis, items []platform.Item) {
+	r.restored = restored{
+		settleAt: now + restoreGraceMillis,
+		held:     map[lovageshift.TargetID]platform.Item{},
+		zones:    map[lovageshift.ZoneID]bool{},
+	}
+	listed := map[string]bool{}
+	for _, item := range items {
+		listed[item.Key] = true
+		if !r.hold(item) {
+			r.Apply(now, now, item)
+		}
+	}
+	for id := range r.targets {
+		if !listed[platform.TargetKey(id)] {
+			r.removeTarget(now, now, id)
+		}
+	}
+	for zone := range r.zonesOut {
+		if !listed[platform.ZoneOutKey(zone)] {
+			r.restored.zones[zone] = true
+		}
+	}
+}
+
+// hold keeps back the record of a target that had been removed, if it is no newer than the last one before the removal.
+func (r *Records) hold(item platform.Item) bool {
+	record, name := platform.Classify(item.Key)
+	if record != platform.RecordTarget {
+		return false
+	}
+	id := lovageshift.TargetID(name)
+	last, wasRemoved := r.gone[id]
+	target, err := platform.DecodeTarget(name, item.Value)
+	if !wasRemoved || err != nil || target.Born > last.born || target.Born == last.born && target.Sequence > last.sequence {
+		return false
+	}
+	r.restored.held[id] = item
+	return true
+}
+
+// settleRestored takes over what the store still has, or still lacks, restoreGraceMillis after its return. It reports
+// whether that changed a target or a zone.
+func (r *Records) settleRestored(now lovageshift.Millis) bool {
+	if now < r.restored.settleAt {
+		return false
+	}
+	changed := false
+	for _, item := range r.restored.held {
+		r.Apply(now, 0, item)
+		changed = true
+	}
+	for zone := range r.restored.zones {
+		r.restoreZone(now, zone)
+		changed = true
+	}
+	r.restored = restored{}
+	return changed
+}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -30,6 +30,13 @@
 	neverConfirmed lovageshift.Millis = 1 << 40
 )
 
+// errNewEra is the error of a call whose response shows that the store has come back from an older copy: all records have to
+// be read. errOlderEra is the error of a call whose response is from before that.
+var (
+	errNewEra   = errors.New("the store has come back from an older copy")
+	errOlderEra = errors.New("the store's response is from an era before")
+)
+
 // Store is the part of the platform's metadata store that a tracker reads.
 type Store interface {
 	// Range returns one page of the records whose keys are greater than after, in key order. With "" it starts at the
@@ -61,20 +68,25 @@
 	// outage.
 	storeBackAt      lovageshift.Millis
 	storeUnreachable bool
-	// era is the store's era in its last response.
-	era int64
 
 	mutex sync.Mutex
-	// storeRevision is the store revision of the records, 0 before the first were read. It changes under the mutex
-	// together with confirmedAt, so that RevisionAge never returns an older revision with the time of a newer one's
+	// position is the store position of the records, without a revision before the first were read. It changes under the
+	// mutex together with confirmedAt, so that Report never returns an older position with the time of a newer one's
 	// confirmation.
-	storeRevision int64
-	// confirmedAt is the last time (Clock.SinceBoot) at which the store is known to have had no revision newer than
-	// storeRevision, 0 if there is none.
+	position lovageshift.StorePosition
+	// confirmedAt is the last time (Clock.SinceBoot) at which the store is known to have had nothing newer than position,
+	// 0 if there is none.
 	confirmedAt lovageshift.Millis
-	// behindSince is when (Clock.Now) another entry was first seen with a store revision newer than storeRevision, 0 if
-	// none was.
+	// behindSince is when (Clock.Now) another entry was first seen with a position newer than position, 0 if none was.
 	behindSince lovageshift.Millis
+	// catalog is the version of the records' catalog at position, 0 if there is none, and catalogUnreadable whether the
+	// store's catalog is another one, which could not be decoded.
+	catalog           lovageshift.Revision
+	catalogUnreadable bool
+	// lostCatalog is the last version of the catalog reported by another entry that was newer than this entry's though its
+	// position was not, and lostCatalogAt when (Clock.Now) that was.
+	lostCatalog   lovageshift.Revision
+	lostCatalogAt lovageshift.Millis
 	// spread is the part of spreadMillis that applies to the next call to the store.
 	spread lovageshift.Millis
 	// fetch is set if a reader sent that there are changes to read from the store.
@@ -108,41 +120,11 @@
 	}
 }
 
-// RevisionAge returns the store revision of the local copy, 0 before the first read, and its age: the milliseconds
-// since the last time at which the store is known to have had no newer revision. The age includes time for which the VM
-// was suspended. It is neverConfirmed if there was no confirmation.
-func (t *Tracker) RevisionAge() (int64, lovageshift.Millis) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.confirmedAt == 0 {
-		return t.storeRevision, neverConfirmed
-	}
-	return t.storeRevision, t.clock.SinceBoot() - t.confirmedAt
-}
-
-// Confirm records another entry's report that the revision was the store's newest at a given time, in milliseconds of
-// this entry's Clock.SinceBoot. If the revision is older than that of this entry's local copy, the report is ignored.
-// If it is newer, the local copy is behind; maxBehindMillis counts from the first such report.
-func (t *Tracker) Confirm(revision int64, at lovageshift.Millis) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	switch {
-	case t.storeRevision == 0 || revision < t.storeRevision:
-	case revision == t.storeRevision:
-		t.confirmedAt = max(t.confirmedAt, at)
-	case t.behindSince == 0:
-		t.behindSince = t.clock.Now()
-	}
-}
-
 // View returns the latest published view, or nil if no valid catalog was read yet.
 func (t *Tracker) View() *catalog.View { return t.view.Load() }
 
-// ViewAge returns the age of the published view, which is that of the local copy's revision in RevisionAge.
-func (t *Tracker) ViewAge() lovageshift.Millis {
-	_, age := t.RevisionAge()
-	return age
-}
+// ViewAge returns the age of the published view, which is Report.Age.
+func (t *Tracker) ViewAge() lovageshift.Millis { return t.Report().Age }
 
 // OnChange registers a function that Run calls with each new view. The calls do not overlap.
 func (t *Tracker) OnChange(callback func(*catalog.View)) {
@@ -153,23 +135,23 @@
 
 // Run follows the store until the context ends.
 func (t *Tracker) Run(ctx context.Context) error {
-	var revision int64
+	var position lovageshift.StorePosition
 	canWatch := false
 	for ctx.Err() == nil {
 		var err error
 		switch {
 		case !canWatch:
-			revision, err = t.readAll(ctx)
+			position, err = t.readAll(ctx, position)
 		case t.isReader():
 			t.discardReceived()
-			revision, err = t.watchOnce(ctx, revision)
+			position, err = t.watchOnce(ctx, position)
 		case t.mustAsk():
-			revision, err = t.watchOnce(ctx, revision)
+			position, err = t.watchOnce(ctx, position)
 			if err != nil {
 				t.requestFetch() // the reason to ask remains
 			}
 		default:
-			revision = t.awaitChanges(ctx, revision)
+			position = t.awaitChanges(ctx, position)
 			continue
 		}
 		canWatch = t.finishCall(ctx, err, canWatch)
@@ -196,6 +178,9 @@
 		t.log.Info("storeHistoryGone")
 		return false
 	}
+	if errors.Is(err, errNewEra) {
+		return false
+	}
 	wait := backoffMinMillis + lovageshift.Millis(rand.Int64N(int64(backoffMaxMillis-backoffMinMillis)))
 	lovageshift.Pause(ctx, wait.Duration())
 	return wasWatch
@@ -226,40 +211,21 @@
 	t.metrics.Add(metrics.StoreCalls, "answered", 1)
 }
 
-// noteEra logs if a response of the store is of another era than the one before. The parameter position is the revision that
-// this entry asked from.
-func (t *Tracker) noteEra(page platform.Page, position int64) {
-	if page.Era != t.era && t.era > 0 {
-		t.log.Info("storeEraChanged", "before", t.era, "era", page.Era, "position", position, "revision", page.Revision,
-			"records", len(page.Items))
-	}
-	t.era = page.Era
-}
-
-// setRevision sets the store revision of the records. The store returned that revision to a call sent at sentAt
-// (Clock.SinceBoot), so no newer revision existed at that time.
-func (t *Tracker) setRevision(revision int64, sentAt lovageshift.Millis) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if revision != t.storeRevision {
-		t.behindSince = 0
-	}
-	t.storeRevision = revision
-	t.confirmedAt = max(t.confirmedAt, sentAt)
-}
-
-// readPages returns the records of the first maxPages pages in the store, and the first page.
-func readPages(ctx context.Context, store Store, address string) ([]platform.Item, platform.Page, error) {
+// readPages returns the records of the first maxPages pages in the store, and the store position of the first page.
+func readPages(ctx context.Context, store Store, address string) ([]platform.Item, lovageshift.StorePosition, error) {
 	var items []platform.Item
-	var first platform.Page
+	var position lovageshift.StorePosition
 	after := ""
 	for pageNumber := range maxPages {
 		page, err := store.Range(ctx, address, after)
 		if err != nil {
-			return nil, first, err
+			return nil, position, err
 		}
 		if pageNumber == 0 {
-			first = page
+			position = page.Position
+		}
+		if page.Position.Era != position.Era {
+			return nil, position, errNewEra
 		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -267,7 +233,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	return items, first, nil
+	return items, position, nil
 }
 
 // ReadView reads all records once. It returns the view that a newly started entry would publish and the changes that
@@ -282,39 +248,63 @@
 	return records.View(0), records.Changes(), nil
 }
 
-// readAll reads all records, publishes their view and returns the store revision of the first page. The next watch
-// starts from that revision, as the pages are not one consistent snapshot: a record may change while they are read.
-func (t *Tracker) readAll(ctx context.Context) (int64, error) {
+// readAll reads all records, publishes their view and returns the store position of the first page. The next watch starts
+// from there, as the pages are not one consistent snapshot: a record may change while they are read. The parameter before
+// is the position of the local copy.
+func (t *Tracker) readAll(ctx context.Context, before lovageshift.StorePosition) (lovageshift.StorePosition, error) {
 	sentAt := t.clock.SinceBoot()
-	items, first, err := readPages(ctx, t.store, t.address())
+	items, position, err := readPages(ctx, t.store, t.address())
 	if err != nil {
-		return 0, err
+		return before, err
+	}
+	if isOlderEra(position, before) {
+		return before, errOlderEra
 	}
 	t.recordSuccess()
-	t.noteEra(first, t.storeRevision)
-	t.records.Replace(t.clock.Now(), t.storeBackAt, items)
+	now := t.clock.Now()
+	if before.Revision > 0 && position.Era != before.Era {
+		t.storeBackAt = now
+		t.records.Restore(now, items)
+	} else {
+		t.records.Replace(now, t.storeBackAt, items)
+	}
 	t.publish()
-	t.setRevision(first.Revision, sentAt)
-	return first.Revision, nil
+	t.setPosition(position, sentAt)
+	t.passOnRead(before, position)
+	return position, nil
 }
 
-// watchOnce waits for changes after the revision, publishes them and, as a reader, passes them on. It returns the revision
+// isOlderEra reports whether a response of the store is from an era before that of the position. It was delayed, or comes
+// from a part of the store that has not been restored yet.
+func isOlderEra(response, position lovageshift.StorePosition) bool {
+	return response.Era > 0 && response.Era < position.Era
+}
+
+// watchOnce waits for changes after the position, publishes them and, as a reader, passes them on. It returns the position
 // to watch from next, which stays the same if the watch failed.
-func (t *Tracker) watchOnce(ctx context.Context, revision int64) (int64, error) {
+func (t *Tracker) watchOnce(ctx context.Context, position lovageshift.StorePosition) (lovageshift.StorePosition, error) {
 	sentAt := t.clock.SinceBoot()
-	page, err := t.store.Watch(ctx, t.address(), revision, t.nextWatchWait())
+	page, err := t.store.Watch(ctx, t.address(), position.Revision, t.nextWatchWait())
 	if err != nil {
-		return revision, err
+		return position, err
+	}
+	if isOlderEra(page.Position, position) {
+		return position, errOlderEra
 	}
 	t.recordSuccess()
-	t.noteEra(page, revision)
-	if page.Revision > 0 && page.Revision < revision {
+	if page.Position.Era != position.Era {
+		t.log.Info("storeEraChanged", "before", position.Era, "era", page.Position.Era,
+			"position", position.Revision, "revision", page.Position.Revision, "records", len(page.Items))
+		return position, errNewEra
+	}
+	if page.Position.Revision > 0 && page.Position.Older(position) {
 		// Another entry sent changes up to a revision that the store does not have.
-		return revision, platform.ErrHistoryGone
+		return position, platform.ErrHistoryGone
 	}
-	next := max(page.Revision, revision)
+	next := position
+	next.Revision = max(next.Revision, page.Position.Revision)
 	if len(page.Items) == 0 {
-		t.setRevision(next, sentAt)
+		t.setPosition(next, sentAt)
 		return next, nil
 	}
 	now := t.clock.Now()
@@ -322,21 +312,21 @@
 		t.records.Apply(now, t.storeBackAt, item)
 	}
 	t.publish()
-	t.setRevision(next, sentAt)
+	t.setPosition(next, sentAt)
 	if t.isReader() {
-		t.passOn(revision, next, page.Items)
+		t.passOn(position.Revision, next, page.Items)
 		lovageshift.Pause(ctx, coalesceMillis.Duration())
 	}
 	return next, nil
 }
 
-// nextWatchWait returns how long the next watch waits for a change. While there are lapsed targets it is a quarter of
-// watchMillis, as Expire, which removes them, runs only after each watch.
+// nextWatchWait returns how long the next watch waits for a change. While Expire will change the records soon, it is a
+// quarter of watchMillis, as Expire runs only after each watch.
 func (t *Tracker) nextWatchWait() lovageshift.Millis {
 	switch {
 	case !t.isReader() && !t.storeUnreachable:
 		return probeWatchMillis
-	case len(t.records.lapsed) > 0:
+	case t.records.awaitsExpiry():
 		return watchMillis / 4
 	default:
 		return watchMillis
--- a/discovery/tracker_test.go
+++ b/discovery/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,14 +15,21 @@
 	"lovageshift/platform"
 )
 
+// at returns the position of the revision at a store that names no era.
+func at(revision int64) lovageshift.StorePosition {
+	return lovageshift.StorePosition{Revision: revision}
+}
+
 // fakeStore answers a range request with revision 1 and one catalog, and each watch with the next page that the test
 // sends to answers.
 type fakeStore struct {
 	answers chan platform.Page
+	era     atomic.Int64 // of the answers to range requests
 }
 
 func (f *fakeStore) Range(context.Context, string, string) (platform.Page, error) {
-	return platform.Page{Revision: 1, Items: []platform.Item{catalogItem(4)}}, nil
+	position := lovageshift.StorePosition{Era: f.era.Load(), Revision: 1}
+	return platform.Page{Position: position, Items: []platform.Item{catalogItem(4)}}, nil
 }
 
 func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, _ lovageshift.Millis) (platform.Page, error) {
@@ -29,14 +37,16 @@
 	case page := <-f.answers:
 		return page, nil
 	case <-ctx.Done():
-		return platform.Page{Revision: after}, ctx.Err()
+		return platform.Page{Position: at(after)}, ctx.Err()
 	}
 }
 
-// newTracker returns a running tracker that has published its first view, its clock and the function that stops it.
-func newTracker(store discovery.Store) (*discovery.Tracker, lovageshift.Clock, func()) {
+// runTracker returns a running tracker that has published its first view, its clock and the function that stops it.
+func runTracker(store discovery.Store) (*discovery.Tracker, lovageshift.Clock, func()) {
 	counts, err := metrics.New()
-	So(err, ShouldBeNil)
+	if err != nil {
+		panic(err)
+	}
 	clock := lovageshift.NewClock()
 	tracker := discovery.NewTracker(discovery.Options{
 		Store: store, Clock: clock, Metrics: counts, Address: func() string { return "" },
@@ -56,37 +66,33 @@
 func TestConfirmations(t *testing.T) {
 	Convey("A watch that returns a newer revision does not reduce the age of the older one before the newer one replaces it", t, func() {
 		store := &fakeStore{answers: make(chan platform.Page)}
-		tracker, _, stop := newTracker(store)
+		tracker, _, stop := runTracker(store)
 		defer stop()
 		time.Sleep(100 * time.Millisecond)
-		_, before := tracker.RevisionAge()
-		store.answers <- platform.Page{Revision: 2, Items: []platform.Item{catalogItem(6)}}
+		before := tracker.Report().Age
+		store.answers <- platform.Page{Position: at(2), Items: []platform.Item{catalogItem(6)}}
 		for range 200 {
-			revision, age := tracker.RevisionAge()
-			if revision == 1 {
-				So(age, ShouldBeGreaterThanOrEqualTo, before)
+			report := tracker.Report()
+			if report.Position == at(1) {
+				So(report.Age, ShouldBeGreaterThanOrEqualTo, before)
 			}
 			time.Sleep(time.Millisecond)
 		}
-		revision, _ := tracker.RevisionAge()
-		So(revision, ShouldEqual, 2)
+		So(tracker.Report().Position, ShouldEqual, at(2))
 		So(tracker.View().Catalog.Version, ShouldEqual, lovageshift.Revision(6))
 	})
 	Convey("Another entry's report confirms only the revision of this entry, and no earlier time replaces a later one", t, func() {
-		tracker, clock, stop := newTracker(&fakeStore{answers: make(chan platform.Page)})
+		tracker, clock, stop := runTracker(&fakeStore{answers: make(chan platform.Page)})
 		defer stop()
 		// If a report at this time, an hour ahead of the clock, is applied, the age is negative however long the test takes.
 		ahead := clock.SinceBoot() + 3_600_000
 		for _, other := range []int64{0, 2} {
-			tracker.Confirm(other, ahead)
-			_, age := tracker.RevisionAge()
-			So(age, ShouldBeGreaterThanOrEqualTo, 0)
+			tracker.Confirm(ahead, discovery.Report{Position: at(other)})
+			So(tracker.Report().Age, ShouldBeGreaterThanOrEqualTo, 0)
 		}
-		tracker.Confirm(1, ahead)
-		_, age := tracker.RevisionAge()
-		So(age, ShouldBeLessThan, 0)
-		tracker.Confirm(1, clock.SinceBoot()-5000)
-		_, age = tracker.RevisionAge()
-		So(age, ShouldBeLessThan, 0)
+		tracker.Confirm(ahead, discovery.Report{Position: at(1)})
+		So(tracker.Report().Age, ShouldBeLessThan, 0)
+		tracker.Confirm(clock.SinceBoot()-5000, discovery.Report{Position: at(1)})
+		So(tracker.Report().Age, ShouldBeLessThan, 0)
 	})
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,8 +17,9 @@
 func (g *Gateway) StateUpdate(now lovageshift.Millis) *wire.EntryNews {
 	update := &wire.EntryNews{Refused: g.refused.takeUnreported(), Suspects: g.suspects.report(now)}
 	g.crashes.report(now, update)
-	revision, age := g.tracker.RevisionAge()
-	update.StoreRevision, update.ViewAgeMillis = revision, int64(age)
+	report := g.tracker.Report()
+	update.StoreEra, update.StoreRevision = report.Position.Era, report.Position.Revision
+	update.CatalogVersion, update.ViewAgeMillis = int64(report.Catalog), int64(report.Age)
 	for hash, load := range g.scheduler.OwnRunning() {
 		update.Targets = append(update.Targets, uint32(hash))
 		update.Running = append(update.Running, uint32(load.Running))
@@ -47,7 +48,8 @@
 	if echoedAt > 0 {
 		// The sender's view was last confirmed ViewAgeMillis before the update was sent, and so no earlier than
 		// ViewAgeMillis before echoedAt.
-		g.tracker.Confirm(update.StoreRevision, echoedAt-lovageshift.Millis(update.ViewAgeMillis))
+		report := storeReport(update)
+		g.tracker.Confirm(echoedAt-report.Age, report)
 	}
 	g.refused.merge(now, update.Refused)
 	g.suspects.merge(now, update.Suspects)
@@ -80,6 +82,15 @@
 	g.scheduler.UpdatePeer(now, from, running)
 }
 
+// storeReport returns what the sender of the update tells of its local copy of the store's records.
+func storeReport(update *wire.EntryNews) discovery.Report {
+	return discovery.Report{
+		Position: lovageshift.StorePosition{Era: update.StoreEra, Revision: update.StoreRevision},
+		Catalog:  lovageshift.Revision(update.CatalogVersion),
+		Age:      lovageshift.Millis(update.ViewAgeMillis),
+	}
+}
+
 // peerRunning returns the requests that the sender of the update has at each target.
 func (g *Gateway) peerRunning(update *wire.EntryNews) map[placement.TargetHash]placement.PeerRunning {
 	self := exchange.IPv4Number(g.self)
@@ -141,7 +152,7 @@
 
 func storeChanges(message *wire.StoreChanges) discovery.Changes {
 	changes := discovery.Changes{
-		From: message.FromRevision, To: message.ToRevision, ReadStore: message.ReadStore,
+		Era: message.Era, From: message.FromRevision, To: message.ToRevision, ReadStore: message.ReadStore,
 		StoreBack: lovageshift.Millis(message.StoreBackMillis),
 	}
 	for _, record := range message.Records {
@@ -152,7 +163,7 @@
 
 func storeChangesMessage(changes discovery.Changes) *wire.StoreChanges {
 	message := &wire.StoreChanges{
-		FromRevision: changes.From, ToRevision: changes.To, ReadStore: changes.ReadStore,
+		Era: changes.Era, FromRevision: changes.From, ToRevision: changes.To, ReadStore: changes.ReadStore,
 		StoreBackMillis: int64(changes.StoreBack),
 	}
 	for _, item := range changes.Items {
