Let the stand-in store and the soak bring the store back older

Change: standin.Store has eras, copies and Restore, and answers 410 to a watch from a revision that it does not have. The soak's fault storeRestored fails the store after a key was withdrawn and takes it back to a copy; the operator and the targets write again.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -19,6 +19,8 @@
 	fatalInterval = 400 * time.Millisecond
 	// How long a target names a limit beyond the length of the fault: the time after which bounds apply and a window.
 	limitedMillis = settleMillis + limitWindow
+	// With StoreRestored, the store is away for a time below maxAwayMillis.
+	maxAwayMillis = 2000
 	// Interval of checks whether a process has exited or an entry is in rotation.
 	pollInterval = 20 * time.Millisecond
 )
@@ -80,6 +82,8 @@
 		r.testbed.store.SetUnresponsive(false)
 	case StoreForgets:
 		r.testbed.store.Compact()
+	case StoreRestored:
+		r.restoreStore(ctx, fault)
 	case KeyWithdrawn:
 		r.testbed.replaceKey()
 	case QuotaLowered:
@@ -139,6 +143,17 @@
 	}
 }
 
+// restoreStore publishes a catalog after the copy was made, just before the store is away. The variant selects for how long.
+func (r *run) restoreStore(ctx context.Context, fault Fault) {
+	from := r.testbed.store.Copy()
+	lovageshift.Pause(ctx, fault.Length.Duration())
+	r.testbed.replaceKey()
+	r.testbed.store.SetFailure(http.StatusServiceUnavailable)
+	lovageshift.Pause(ctx, (lovageshift.Millis(fault.Variant) % maxAwayMillis).Duration())
+	r.testbed.restore(from)
+	r.testbed.store.SetFailure(0)
+}
+
 // affectedEntry returns the number of the entry that a fault affects, or AllEntries or NoEntry. Faults of targets,
 // of the links to them, and actions of the operator affect no entry.
 func (r *run) affectedEntry(fault Fault) int {
@@ -146,7 +161,7 @@
 	case EntryKilled, EntryStopped, EntryPaused, EntryReloaded, StoreLinkRefused, StoreLinkHeld, StoreLinkOneWay,
 		StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow:
 		return fault.Subject % len(r.entries)
-	case AllKilled, StoreFails, StoreSilent, StoreForgets:
+	case AllKilled, StoreFails, StoreSilent, StoreForgets, StoreRestored:
 		return AllEntries
 	default:
 		return NoEntry
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -74,6 +74,9 @@
 	FatalPart Kind = "fatalPart"
 	// TargetLimited makes a target name a limit in its answers, for the length of the fault and limitedMillis.
 	TargetLimited Kind = "targetLimited"
+	// StoreRestored makes the store fail for a moment and come back from a copy made at the start of the fault. What targets
+	// and the operator wrote since then is lost, and is written again.
+	StoreRestored Kind = "storeRestored"
 )
 
 var allKinds = []Kind{
@@ -84,7 +87,7 @@
 }
 
 // laterKinds are drawn apart from allKinds, so that the other faults of seeds from before stay the same.
-var laterKinds = []Kind{FatalPart, TargetLimited}
+var laterKinds = []Kind{FatalPart, TargetLimited, StoreRestored}
 
 // Fault is one planned fault. Actions of the operator and fatal requests count as faults.
 type Fault struct {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -202,6 +203,35 @@
 	}
 }
 
+// restore takes the store back to the copy. The operator then writes the catalog and the zones again, and the targets write
+// their records when they are due.
+func (t *testbed) restore(from standin.StoreCopy) {
+	keys := t.store.Restore(from)
+	t.mutex.Lock()
+	for _, key := range keys {
+		if _, isRecord := t.recordExpiries[key]; !isRecord && strings.HasPrefix(key, standin.TargetKeyPrefix) {
+			t.recordExpiries[key] = t.clock.Now() + recordTTL
+		}
+	}
+	t.mutex.Unlock()
+	t.publishCatalog(func(*standin.Catalog) {})
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, zone := range zones {
+		if t.isZoneOut(zone) {
+			t.store.Put(standin.ZoneOutKey(zone), map[string]any{})
+		} else {
+			t.store.Delete(standin.ZoneOutKey(zone))
+		}
+	}
+}
+
+// isZoneOut reports whether the zone is out of service. The caller holds the mutex.
+func (t *testbed) isZoneOut(zone string) bool {
+	spans := t.zoneOutages[zone]
+	return len(spans) > 0 && spans[len(spans)-1].To == 0
+}
+
 // publishCatalog changes the catalog and writes it to the store with a higher version.
 func (t *testbed) publishCatalog(change func(*standin.Catalog)) {
 	t.mutex.Lock()
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -134,8 +134,11 @@
 	ColdMillis int   // how long the replica is still cold, in milliseconds
 }
 
+// TargetKeyPrefix is the beginning of the keys of all replicas' records.
+const TargetKeyPrefix = "servers/"
+
 // Key returns the key of the replica's record in the store.
-func (r *Replica) Key() string { return "servers/" + r.ID }
+func (r *Replica) Key() string { return TargetKeyPrefix + r.ID }
 
 // Record returns the value of the replica's record in the store, to be encoded as JSON.
 func (r *Replica) Record(registration Registration) map[string]any {
--- a/standin/store.go
+++ b/standin/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -14,6 +16,7 @@
 // It is safe for concurrent use.
 type Store struct {
 	mutex        sync.Mutex
+	era          int64 // rises with each Restore
 	revision     int64
 	compactedTo  int64                // revision up to which events are dropped
 	items        map[string]storeItem // by key
@@ -23,6 +26,18 @@
 	unresponsive bool
 }
 
+// StoreCopy is a copy of the items of a store, at one revision.
+type StoreCopy struct {
+	revision int64
+	items    map[string]storeItem
+}
+
+// Revision returns the revision of the store when the copy was made.
+func (c StoreCopy) Revision() int64 { return c.revision }
+
+// HeaderStoreEra is the header of all answers that holds the store's era.
+const HeaderStoreEra = "Store-Era"
+
 // storeItem is a key with its value, or an event: one write of a key. Revision is that of the write.
 type storeItem struct {
 	Key      string `json:"key"`
@@ -51,9 +66,9 @@
 // storePageItems is the maximum number of items in one answer to a range.
 const storePageItems = 4
 
-// NewStore returns an empty store at revision 1.
+// NewStore returns an empty store at revision 1 of era 1.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]storeItem{}, changed: make(chan struct{})}
+	return &Store{era: 1, revision: 1, items: map[string]storeItem{}, changed: make(chan struct{})}
 }
 
 // Put sets a key to the value in JSON.
@@ -83,10 +98,35 @@
 		s.items[item.Key] = item
 	}
 	s.events = append(s.events, item)
+	s.wake()
+}
+
+// wake wakes the watches.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// Copy returns a copy of the store for Restore.
+func (s *Store) Copy() StoreCopy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return StoreCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// Restore takes the store back to the copy, in a new era: what was written since then is lost, and its revisions are given
+// out again. Watches are answered with status 503. It returns the keys of the copy.
+func (s *Store) Restore(from StoreCopy) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision, s.items = from.revision, maps.Clone(from.items)
+	s.events = slices.DeleteFunc(s.events, func(event storeItem) bool { return event.Revision > from.revision })
+	s.compactedTo = min(s.compactedTo, from.revision)
+	s.wake()
+	return slices.Collect(maps.Keys(from.items))
+}
+
 // Compact drops all events so far. A watch that asks for events after an earlier revision than the current one is then
 // answered with status 410.
 func (s *Store) Compact() {
@@ -114,8 +154,9 @@
 // for events.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
-	failure, unresponsive := s.failure, s.unresponsive
+	failure, unresponsive, era := s.failure, s.unresponsive, s.era
 	s.mutex.Unlock()
+	w.Header().Set(HeaderStoreEra, strconv.FormatInt(era, 10))
 	if unresponsive {
 		<-r.Context().Done()
 		return
@@ -129,7 +170,7 @@
 	case "/-/kv-range":
 		s.writePage(w, s.page(query.Get("prefix"), query.Get("after")))
 	case "/-/kv-watch":
-		s.watch(w, r)
+		s.watch(w, r, era)
 	default:
 		http.NotFound(w, r)
 	}
@@ -159,16 +200,17 @@
 }
 
 // watch answers with the events after the revision in the query parameter "after", as soon as there is one. If the time
-// in "wait_ms" passes first, the answer has no events. If some of the events are compacted, the status is 410.
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+// in "wait_ms" passes first, the answer has no events. If some of the events are compacted, or the store has not had the
+// revision in the era in which the watch began, the status is 410. If the store is restored, the status is 503.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, era int64) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
 	for {
-		page, compacted, changed := s.eventsAfter(after)
-		if compacted {
-			w.WriteHeader(http.StatusGone)
+		page, status, changed := s.eventsAfter(era, after)
+		if status != http.StatusOK {
+			w.WriteHeader(status)
 			return
 		}
 		if len(page.Events) > 0 {
@@ -186,16 +228,22 @@
 	}
 }
 
-// eventsAfter returns the events after a revision, whether events after it may have been compacted, and a channel that
-// the next write closes.
-func (s *Store) eventsAfter(after int64) (storePage, bool, chan struct{}) {
+// eventsAfter returns the events after a revision, the status of the answer to a watch that began in the era, and a channel
+// that the next write closes.
+func (s *Store) eventsAfter(era, after int64) (storePage, int, chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	switch {
+	case era != s.era:
+		return storePage{}, http.StatusServiceUnavailable, nil
+	case after < s.compactedTo || after > s.revision:
+		return storePage{}, http.StatusGone, nil
+	}
 	page := storePage{AsOf: s.revision}
 	for _, event := range s.events {
 		if event.Revision > after {
 			page.Events = append(page.Events, event)
 		}
 	}
-	return page, after < s.compactedTo, s.changed
+	return page, http.StatusOK, s.changed
 }
