--- a/catalog/target.go
+++ b/catalog/target.go
@@ -13,6 +13,8 @@
 	Service ServiceID
 	Address string // IP:port
 	Zone    lovageshift.ZoneID
+	// Version is the version of the target's software, "" if its record does not say.
+	Version lovageshift.SoftwareVersion
 	// Slots is the number of requests that the target runs at once, 0 if its record does not say.
 	Slots int
 	// Draining is set once the target has announced its shutdown. It then gets no new requests.
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -190,7 +190,7 @@
 // other than Sequence and ColdUntil.
 func recordsDiffer(known, target *catalog.Target) bool {
 	return known.Address != target.Address || known.Zone != target.Zone || known.Service != target.Service ||
-		known.Slots != target.Slots || known.Draining != target.Draining || known.ColdRemaining != target.ColdRemaining
+		known.Slots != target.Slots || known.Version != target.Version || known.Draining != target.Draining || known.ColdRemaining != target.ColdRemaining
 }
 
 // removeTarget handles the removal of a target's record. Less than lapseGraceMillis after storeBackAt, it marks a
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"lovageshift"
 	"lovageshift/catalog"
+	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/platform"
 	"lovageshift/quarantine"
@@ -108,6 +109,7 @@
 	}
 	r.summary.setTarget(slot)
 	r.summary.sentAt = g.clock.Now()
+	r.logResume(slot)
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := r.watchForResponse(slot, cancel)
@@ -130,6 +132,16 @@
 	return r.forward(ctx, cancel, slot, response)
 }
 
+// logResume logs that the request goes on with a stream, for its caller or after an earlier target of its own.
+func (r *request) logResume(slot *placement.Slot) {
+	if r.headers.LastEventID == "" && r.lastEventID == "" {
+		return
+	}
+	r.gateway.metrics.Add(metrics.StreamsResumed, string(slot.Target.Version), 1)
+	r.gateway.log.Info("streamResumed", "request", r.headers.ID, "resumes", r.headers.Resumes, "callerHas", r.headers.LastEventID,
+		"entryHas", r.lastEventID, "target", slot.Target.ID, "release", slot.Target.Version)
+}
+
 // watchForResponse starts a timer for the response header of the slot's target: lateFactor times the latency objective,
 // or half of timeLeft if the request has a deadline and that is shorter. When the timer fires, it counts a failure of
 // the target and, if the request may run again, cancels the attempt. The returned function stops the timer and reports
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -10,10 +10,11 @@
 
 // requestSummary holds values that are logged when a request ends.
 type requestSummary struct {
-	// target, zone and running describe the last target to which the request was to be sent. running is how many requests
+	// target, zone, release and running describe the last target to which the request was to be sent. running is how many requests
 	// of all entries that target had, as far as known, when it was chosen.
 	target  lovageshift.TargetID
 	zone    lovageshift.ZoneID
+	release lovageshift.SoftwareVersion
 	running int
 	// throttled is how long the request had to wait for its account's tokens.
 	throttled lovageshift.Millis
@@ -45,7 +46,7 @@
 
 // setTarget records the target of a new attempt.
 func (s *requestSummary) setTarget(slot *placement.Slot) {
-	s.target, s.zone, s.running = slot.Target.ID, slot.Target.Zone, slot.Running
+	s.target, s.zone, s.release, s.running = slot.Target.ID, slot.Target.Zone, slot.Target.Version, slot.Running
 	s.firstByte, s.firstEvent, s.targetEvents, s.sound = 0, 0, 0, false
 }
 
@@ -101,7 +102,7 @@
 		"route", route, "rank", rank, "account", account, "cost", r.cost,
 		"prompt", r.headers.PromptTokens, "output", r.headers.OutputTokens, "expectedOutput", r.loggedOutput(),
 		"version", r.version, "viewAgeMillis", g.tracker.ViewAge(),
-		"target", r.summary.target, "zone", r.summary.zone, "running", r.summary.running, "tried", r.triedCount(),
+		"target", r.summary.target, "zone", r.summary.zone, "release", r.summary.release, "resumes", r.headers.Resumes, "running", r.summary.running, "tried", r.triedCount(),
 		"throttledMillis", r.summary.throttled, "waitedMillis", r.summary.waited, "firstByteMillis", r.summary.firstByte, "firstEventMillis", r.summary.firstEvent,
 		"events", r.summary.events, "longestGapMillis", r.summary.maxEventGap, "totalMillis", g.clock.Now()-r.arrived)
 }
--- a/ids.go
+++ b/ids.go
@@ -35,6 +35,9 @@
 // Revision is the number of a published configuration. Each later configuration has a higher number.
 type Revision int64
 
+// SoftwareVersion is the version of a target's software, as the target names it. Versions have no order.
+type SoftwareVersion string
+
 // Incarnation is the number of one run of a process, from its start to its end. A later run has a higher number.
 type Incarnation int64
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -52,6 +52,8 @@
 	RecordChanges Name = "lovageshift_belief_changes"
 	// PeerMessages counts datagrams between entries by the result of sending or receiving.
 	PeerMessages Name = "lovageshift_peer_messages"
+	// StreamsResumed counts requests sent to a target to go on with a stream, by the version of the target's software.
+	StreamsResumed Name = "lovageshift_streams_resumed"
 	// TargetConnections counts attempts to connect to targets by result: opened, or refused if the attempt failed.
 	TargetConnections Name = "lovageshift_target_connections"
 )
@@ -77,7 +79,7 @@
 
 var counterNames = []Name{
 	Refusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
-	StoreCalls, RecordChanges, PeerMessages, TargetConnections,
+	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed,
 }
 
 // Counts holds the value of one counter for each label value.
