Show that streams go on at another version than the one that began them

Change: a test of three entries and targets of two versions, through real connections: callers leave streams after two events, no, one or all entries end and start anew, and the callers take the streams up elsewhere. Stand-in callers can take streams up, stand-in targets have versions.

--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -57,6 +57,10 @@
 	proxied bool
 	// silent makes targets that crash leave their connections open and send nothing.
 	silent bool
+	// version returns the version of the software of the target with the number, nil for one version of all.
+	version func(number int) string
+	// slots is how many requests a target runs at once, and events the number of events of a stream, each at least 4.
+	slots, events int
 	// endsWithConnection makes the answers end with their connections.
 	endsWithConnection bool
 }
@@ -186,7 +190,7 @@
 		So(err, ShouldBeNil)
 	}
 	h.replica = &standin.Replica{
-		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: 4, EventCount: 4, EventInterval: 10 * time.Millisecond,
+		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: max(options.slots, 4), EventCount: max(options.events, 4), EventInterval: 10 * time.Millisecond,
 		CrashesOn: options.crashes, EndsWithConnection: options.endsWithConnection,
 		OnCrash: func() {
 			if options.silent {
@@ -198,6 +202,9 @@
 			}
 		},
 	}
+	if options.version != nil {
+		h.replica.Version = options.version(number)
+	}
 	return h
 }
 
--- /dev/null
+++ b/gateway/versions_test.go
@@ -0,0 +1,139 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift/standin"
+)
+
+// versionsInstallation returns an installation of three entries and of eight targets, half of which have another version of
+// their software than the others.
+func versionsInstallation() *installation {
+	return newInstallation(3, 8, targetOptions{
+		slots: 40, events: 30,
+		version: func(number int) string { return fmt.Sprintf("v%d", 1+number%2) },
+	})
+}
+
+// resumableStream is a stream that its caller took up again after it had left.
+type resumableStream struct {
+	first, next standin.CallerRequest
+	firstReply  standin.Reply
+	nextReply   standin.Reply
+}
+
+// goesOn reports whether the events of the two attempts are those of one whole stream.
+func (s *resumableStream) goesOn() bool {
+	if s.nextReply.Status != 200 || !s.nextReply.Complete {
+		return false
+	}
+	for i, id := range append(s.firstReply.EventIDs, s.nextReply.EventIDs...) {
+		if id != i+1 {
+			return false
+		}
+	}
+	return true
+}
+
+// beginStreams begins streams through all entries and leaves each after two events.
+func (i *installation) beginStreams(count int) []*resumableStream {
+	streams := make([]*resumableStream, count)
+	var group errgroup.Group
+	group.SetLimit(20)
+	for number := range count {
+		s := &resumableStream{first: standin.CallerRequest{
+			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("/resume/%d", number), LeaveAfter: 2,
+		}}
+		streams[number] = s
+		group.Go(func() error {
+			s.firstReply = i.send(number, s.first)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return streams
+}
+
+// takeUp takes the streams up again, each through another entry than before.
+func (i *installation) takeUp(streams []*resumableStream) {
+	var group errgroup.Group
+	group.SetLimit(20)
+	for number, s := range streams {
+		s.next = s.first
+		s.next.ID, s.next.LeaveAfter = "next-"+s.first.ID, 0
+		s.next.Resumes, s.next.LastEventID = s.first.ID, len(s.firstReply.EventIDs)
+		group.Go(func() error {
+			s.nextReply = i.send(number+1, s.next)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// count returns how many of the streams went on, and how many of them at another version than the one that began them.
+func (i *installation) count(streams []*resumableStream) (wentOn, joined int) {
+	versions := map[string]string{}
+	for _, h := range i.hosts {
+		for _, request := range h.replica.Executed() {
+			versions[request.ID] = h.replica.Version
+		}
+	}
+	for _, s := range streams {
+		if s.goesOn() {
+			wentOn++
+		}
+		if next, ran := versions[s.next.ID]; ran && next != versions[s.first.ID] {
+			joined++
+		}
+	}
+	return wentOn, joined
+}
+
+// restart ends the entries with the numbers and starts new ones at their addresses, which know nothing of before.
+func (i *installation) restart(numbers ...int) {
+	for _, number := range numbers {
+		i.entries[number].stop()
+	}
+	for _, number := range numbers {
+		i.entries[number] = i.startEntry(number, len(i.entries))
+	}
+	for range 1000 {
+		if i.ready() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	So("the entries are not ready", ShouldBeEmpty)
+}
+
+// What two versions of a target's software write does not fit together. A stream that its caller takes up through another
+// entry must go on at the version that began it, and at least half as often as new streams begin.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	const count = 60
+	for name, killed := range map[string][]int{"no entry": nil, "one of three entries": {1}} {
+		Convey("Streams go on at the version that began them, after the end of "+name, t, func() {
+			i := versionsInstallation()
+			defer i.stop()
+			streams := i.beginStreams(count)
+			i.restart(killed...)
+			i.takeUp(streams)
+			wentOn, joined := i.count(streams)
+			So(joined, ShouldEqual, 0)
+			So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
+		})
+	}
+	Convey("No stream goes on at another version after the end of all entries", t, func() {
+		i := versionsInstallation()
+		defer i.stop()
+		streams := i.beginStreams(count)
+		i.restart(0, 1, 2)
+		i.takeUp(streams)
+		_, joined := i.count(streams)
+		So(joined, ShouldEqual, 0)
+	})
+}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -27,6 +27,12 @@
 	OutputTokens int
 	// PromptParts are the parts of the prompt as ID:TOKENS entries, separated by commas; "" declares none.
 	PromptParts string
+	// LastEventID is the number of the last event that the caller has of a stream that it takes up, 0 for a new stream, and
+	// Resumes the request id of the attempt that brought the stream's first event.
+	LastEventID int
+	Resumes     string
+	// LeaveAfter is the number of events of a stream after which the caller closes the connection, 0 to read all.
+	LeaveAfter int
 }
 
 // Reply is the response as the caller received it.
@@ -65,6 +71,10 @@
 	if request.PromptParts != "" {
 		httpRequest.Header.Set(HeaderPromptParts, request.PromptParts)
 	}
+	if request.LastEventID > 0 {
+		httpRequest.Header.Set(headerLastEvent, strconv.Itoa(request.LastEventID))
+		httpRequest.Header.Set(headerResumes, request.Resumes)
+	}
 	if request.TimeoutMillis > 0 {
 		httpRequest.Header.Set("Lovageshift-Deadline-Milliseconds", strconv.Itoa(request.TimeoutMillis))
 	}
@@ -78,20 +88,22 @@
 		Signed:    response.Header.Get(HeaderSignature) != "",
 		RequestID: response.Header.Get(HeaderRequestID),
 	}
-	reply.read(response)
+	reply.read(response, request.LeaveAfter)
 	return reply
 }
 
 const authScheme = "Token "
 
-func (r *Reply) read(response *http.Response) {
+// read reads the response to its end, or until it has had the number of events if that is not 0.
+func (r *Reply) read(response *http.Response, leaveAfter int) {
 	reader := bufio.NewReader(response.Body)
 	var body strings.Builder
 	for {
 		line, err := reader.ReadString('\n')
 		body.WriteString(line)
 		r.readLine(line)
-		if err != nil {
+		left := leaveAfter > 0 && len(r.EventIDs) >= leaveAfter && line == "\n"
+		if err != nil || left {
 			r.Complete = errors.Is(err, io.EOF)
 			r.Body = body.String()
 			return
--- a/standin/headers.go
+++ b/standin/headers.go
@@ -10,4 +10,7 @@
 	HeaderPromptParts = "Lovageshift-Prompt-Prefix"
 	// HeaderLimit names the requests a second that a target takes from all entries together.
 	HeaderLimit = "Server-Limit"
+
+	headerLastEvent = "Last-Event-Id"
+	headerResumes   = "Resumes"
 )
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -15,6 +15,7 @@
 type Replica struct {
 	ID      string // the target's id
 	Service string // the service that the replica belongs to
+	Version string // of its software; "" stands for v1
 	Slots   int    // how many requests may run at once; further ones are refused
 	// EventCount is the number of events of a stream; 0 means plain answers. EventInterval is the time before each
 	// event of a stream, ServiceTime the time that a plain answer takes.
@@ -146,8 +147,12 @@
 	if registration.Draining {
 		state = "draining"
 	}
+	version := r.Version
+	if version == "" {
+		version = "v1"
+	}
 	return map[string]any{
-		"service": r.Service, "address": registration.Address, "zone": registration.Zone, "version": "v1", "slots": r.Slots,
+		"service": r.Service, "address": registration.Address, "zone": registration.Zone, "version": version, "slots": r.Slots,
 		"state": state, "cold_remaining_ms": registration.ColdMillis, "seq": registration.Sequence, "born": registration.Born,
 	}
 }
@@ -225,7 +230,7 @@
 		ID: request.Header.Get(HeaderRequestID), URI: request.RequestURI, Body: string(body),
 		PromptParts: request.Header.Get(HeaderPromptParts),
 		Account:     request.Header.Get("Lovageshift-Tenant"), Authorization: request.Header.Get("Authorization"),
-		LastEventID:    request.Header.Get("Last-Event-Id"),
+		LastEventID:    request.Header.Get(headerLastEvent),
 		DeadlineMillis: request.Header.Get("Lovageshift-Deadline-Milliseconds"),
 		ReceivedAt:     time.Now(),
 	}
@@ -256,7 +261,7 @@
 // no such header.
 func (r *Replica) stream(w http.ResponseWriter, request *http.Request, fault ReplicaFault, silenced <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	first, _ := strconv.Atoi(request.Header.Get(headerLastEvent))
 	for number := first + 1; number <= r.EventCount; number++ {
 		sleep(request, r.EventInterval)
 		select {
