Let streams go on only at the software version that began them

Cause: nothing in an entry took notice of the version of a target. And an entry cannot know it alone: the first attempt may have gone through any other entry, and all of them may have been killed since.

Change: the entry that forwards the first event records (attempt, service, version) at four of eight recorders: small processes beside targets, which outlive a loss of all entries; other entries where there are none. Whoever takes a stream up asks them, and binds the request to that version in placement, also across entries. A recorder that stops hands over what it keeps. Unknown is refused as not run, unless a single version was in service for as long as the stream can have run.

Why it works: a stream goes on only on positive knowledge; nothing is inferred from what is in service now.

--- a/cmd/lovageshift/gateway.go
+++ b/cmd/lovageshift/gateway.go
@@ -12,15 +12,15 @@
 	"lovageshift/process"
 )
 
-// hangups delivers SIGHUP to the gateway command. The signal is caught from the initialization of the program until its
+// hangups delivers SIGHUP to the gateway command; the recorder command ignores it. The signal is caught from the initialization of the program until its
 // end, because a SIGHUP that is not caught would kill the process.
 var hangups = watchHangups()
 
-// watchHangups catches SIGHUP if the program was started with the gateway command. Other commands don't catch it, so that
-// they end when their terminal is closed.
+// watchHangups catches SIGHUP if the program was started with the gateway or the recorder command. Other commands don't catch
+// it, so that they end when their terminal is closed.
 func watchHangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
-	if len(os.Args) > 1 && os.Args[1] == gatewayName {
+	if len(os.Args) > 1 && (os.Args[1] == gatewayName || os.Args[1] == recorderName) {
 		signal.Notify(signals, syscall.SIGHUP)
 	}
 	return signals
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -79,12 +79,12 @@
 // learnListed adds the members that a state update lists and applies their heartbeats.
 func (m *members) learnListed(now lovageshift.Millis, update *wire.EntryNews) {
 	for _, number := range update.Members {
-		m.learn(now, ipv4Address(number))
+		m.learn(now, IPv4Address(number))
 	}
 	number := uint32(0)
 	for i, step := range update.MemberSteps {
 		number += step
-		if other := m.learn(now, ipv4Address(number)); other != nil && i < len(update.MemberSequences) {
+		if other := m.learn(now, IPv4Address(number)); other != nil && i < len(update.MemberSequences) {
 			other.passedOn(now, update.MemberSequences[i])
 		}
 	}
@@ -105,8 +105,8 @@
 	return binary.BigEndian.Uint32(octets[:])
 }
 
-// ipv4Address returns the address for which the number stands.
-func ipv4Address(number uint32) netip.Addr {
+// IPv4Address returns the address for which the number stands.
+func IPv4Address(number uint32) netip.Addr {
 	var octets [4]byte
 	binary.BigEndian.PutUint32(octets[:], number)
 	return netip.AddrFrom4(octets)
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -183,6 +183,7 @@
 		}
 		if r.summary.events == 0 {
 			r.summary.firstEvent = g.clock.Now() - r.summary.sentAt
+			r.bindRelease(slot)
 		}
 		if event.ID != "" {
 			r.lastEventID = event.ID
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"lovageshift/quota"
 	"lovageshift/reservation"
 	"lovageshift/retry"
+	"lovageshift/stream"
 	"lovageshift/upstream"
 	"lovageshift/wire"
 
@@ -64,6 +65,8 @@
 	suspects     *suspects
 	crashes      *crashes
 	outputs      *outputAverages
+	streams      *stream.Client
+	versions     *stream.Versions
 	self         netip.Addr // this entry's address
 	peers        Peers
 	// roundIntervals is the last MemberCounts.RoundIntervals, levelsAt when levels of the first collector last arrived.
@@ -95,6 +98,8 @@
 	Retry     retry.Bounds
 	Placement placement.ColdBounds
 	Quota     quota.Tolerance
+	// FirstStart is set if the whole installation starts for the first time.
+	FirstStart bool
 }
 
 // New returns a gateway that serves the routes and targets of the tracker's view. SetPeers must be called before the
@@ -113,6 +118,8 @@
 		refused:     newRefusedRequests(),
 		suspects:    newSuspects(options.Log),
 		outputs:     newOutputAverages(),
+		streams:     stream.NewClient(options.Clock),
+		versions:    stream.NewVersions(options.FirstStart),
 		revocation:  options.Revocation,
 	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
@@ -121,11 +128,12 @@
 	return g
 }
 
-// viewChanged applies the accounts and targets of a new view to the meter and the scheduler.
+// viewChanged applies the accounts and targets of a new view.
 func (g *Gateway) viewChanged(view *catalog.View) {
 	now := g.clock.Now()
 	g.meter.SetAccounts(now, view.Catalog.Accounts())
 	g.scheduler.SetView(now, view)
+	g.versions.Observe(now, view)
 }
 
 // Run runs the gateway's background tasks until the context ends.
@@ -225,6 +233,7 @@
 func (g *Gateway) SetPeers(peers Peers) {
 	g.self, g.peers = peers.Self(), peers
 	g.reservations.SetPeers(peers)
+	g.streams.SetPeers(peers)
 	isReader := func() bool { return g.reservations.AmongFirst(readTask, readerCount) }
 	g.tracker.SetReader(isReader, func(changes discovery.Changes) {
 		packet := &wire.EntryPacket{Body: &wire.EntryPacket_Changes{Changes: storeChangesMessage(changes)}}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -80,6 +80,9 @@
 	// job is the request in the form in which it is submitted to the scheduler, nil until the request waits for a slot.
 	job *placement.Job
 
+	// release is the software version at which the request's stream began, hasRelease whether there is one.
+	release    lovageshift.SoftwareVersion
+	hasRelease bool
 	// runs counts the attempts in which a target may have run the request.
 	runs int
 	// headerSent is set once the header of a target's response has been written to the caller.
@@ -192,7 +195,7 @@
 		}
 		return lovageshift.NotRun(lovageshift.ReasonNotFound, "no route")
 	}
-	r.service = r.route.ServiceFor(routingPoint(r.headers.ID))
+	r.service = r.route.ServiceFor(routingPoint(r.streamAttempt()))
 	r.tokensPerEvent = 1
 	if service := view.Catalog.Service(r.service); service != nil {
 		r.tokensPerEvent = max(service.EventTokens, 1)
@@ -365,6 +368,8 @@
 		ExpectedOutput: r.expectedOutput(),
 		MaxGap:         r.route.MaxGap,
 		Deadline:       r.deadline,
+		HasVersion:     r.hasRelease,
+		Version:        r.release,
 	}
 	job.RefusedBefore = r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
 	if job.RefusedBefore {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -37,6 +37,10 @@
 // refusal, or an aborted response, if the request gets no slot, no further retry is allowed or the context has ended.
 func (r *request) run(ctx context.Context) {
 	g := r.gateway
+	if refusal := r.findRelease(ctx); refusal != nil {
+		r.finish(refusal)
+		return
+	}
 	r.job = r.newJob()
 	g.retryBudget.RecordRequest(g.clock.Now(), string(r.service))
 	for {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -31,6 +31,7 @@
 		update.ColdMillis = append(update.ColdMillis, uint32(left))
 	}
 	update.Limits = limitMessages(g.scheduler.Limits(now))
+	g.streams.Report(now, update)
 	for _, use := range g.meter.Usages(now) {
 		update.Accounts = append(update.Accounts, &wire.AccountUse{
 			Account: uint32(use.Account), Used: int64(use.Used), Declared: int64(use.Declared),
@@ -54,6 +55,7 @@
 	g.refused.merge(now, update.Refused)
 	g.suspects.merge(now, update.Suspects)
 	g.crashes.merge(now, update)
+	g.streams.Merge(now, update)
 	for _, use := range update.Accounts {
 		account := quota.AccountHash(use.Account)
 		g.meter.AdoptLevels(now, quota.Usage{
@@ -137,8 +139,8 @@
 	g.meter.SetFraction(now, float64(counts.Reporting)/float64(counts.Known))
 }
 
-// HandlePacket handles changes of the store's records that another entry read, levels that a collector sent, another
-// entry's reservation request, or its reply to one.
+// HandlePacket handles changes of the store's records that another entry read, levels that a collector sent, messages about
+// streams of other entries and of recorders, another entry's reservation request, or its reply to one.
 func (g *Gateway) HandlePacket(now lovageshift.Millis, from netip.Addr, packet *wire.EntryPacket) {
 	switch body := packet.Body.(type) {
 	case *wire.EntryPacket_Changes:
@@ -146,7 +148,9 @@
 	case *wire.EntryPacket_Levels:
 		g.applyLevels(now, from, body.Levels)
 	default:
-		g.reservations.HandlePacket(now, from, packet)
+		if !g.streams.HandlePacket(now, from, packet) {
+			g.reservations.HandlePacket(now, from, packet)
+		}
 	}
 }
 
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -25,7 +25,7 @@
 
 // assign gives slots to a group's waiting requests in the order of the queue, after promote has moved forward those
 // that the credit of their rank covers. Of those for which judge returns true, it refuses the ones that are expected to
-// get no slot by their queue deadline. A request is judged when it is submitted and at each Tick. To judge all of them
+// get no slot by their queue deadline, and those of a version that no target has. A request is judged when it is submitted and at each Tick. To judge all of them
 // whenever a slot comes free would take most of a small VM's processor in an overload.
 func (s *Scheduler) assign(now lovageshift.Millis, group GroupID, q *queue, judge func(*Waiter) bool) {
 	if len(q.waiters) == 0 {
@@ -42,7 +42,7 @@
 		}
 		if judge(w) {
 			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
-			if now+expected >= w.job.QueueDeadline {
+			if now+expected >= w.job.QueueDeadline || w.job.HasVersion && !s.hasTarget(group, w.job) {
 				s.giveUp(now, q, w, free, expected, ahead)
 				return true
 			}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -57,11 +57,13 @@
 	return best
 }
 
-// eligible reports whether a free target may get the waiter's job now: it was not tried for the job, it still has
+// eligible reports whether a free target may get the waiter's job now: it can run the job and was not tried for it, it still has
 // capacity, it is within the limit that it named and, if it may be cold, the waiter may get a cold target, this entry has a
 // quorum and the target is below its cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
+	case !w.job.fits(t):
+		return false
 	case t.mayBeCold(now) && !(w.role != Other && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
 		return false
 	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
@@ -78,7 +80,7 @@
 func (s *Scheduler) bestPrediction(now lovageshift.Millis, group GroupID, job *Job) prediction {
 	for _, strict := range []prediction{(*targetState).onTime, (*targetState).completesInTime} {
 		for _, t := range s.groups[group] {
-			if now >= t.backoffUntil && strict(t, now, job) {
+			if now >= t.backoffUntil && job.fits(t) && strict(t, now, job) {
 				return strict
 			}
 		}
@@ -115,11 +117,16 @@
 	return total
 }
 
+// hasTarget reports whether a target of the group can run the job.
+func (s *Scheduler) hasTarget(group GroupID, job *Job) bool {
+	return slices.ContainsFunc(s.groups[group], job.fits)
+}
+
 // newRefusal returns the refusal of a job that would have to wait for the expected time behind ahead others. RetryAfter
 // is spread at random by up to a quarter either way, so that requests refused together are not repeated together.
 func (s *Scheduler) newRefusal(now lovageshift.Millis, group GroupID, job *Job, expected lovageshift.Millis, ahead int) *Refusal {
 	reason := lovageshift.ReasonShed
-	if len(s.groups[group]) == 0 {
+	if !s.hasTarget(group, job) {
 		reason = lovageshift.ReasonNoTarget
 	}
 	after := min(max(retryFactor*expected, retryMin), retryMax)
--- a/placement/job.go
+++ b/placement/job.go
@@ -39,11 +39,17 @@
 	// objective already, so it comes after the others of its rank. Its entry sets QueueDeadline by another rule, as a
 	// second refusal would lose it: the caller is not expected to repeat it again.
 	RefusedBefore bool
+	// HasVersion is set if only targets with the Version of their software can run the request.
+	HasVersion bool
+	Version    lovageshift.SoftwareVersion
 	// Tried lists the targets that the scheduler must not choose: those that were assigned to the request before, and
 	// those that another entry granted but that the request's entry does not know.
 	Tried []TargetHash
 }
 
+// fits reports whether the target can run the request.
+func (j *Job) fits(t *targetState) bool { return !j.HasVersion || t.Version == j.Version }
+
 // Slot is the right to run one request at a target; the holder must return it with Scheduler.Release.
 type Slot struct {
 	Target *catalog.Target
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -136,7 +136,7 @@
 				Service: pool, Arrived: now, Rank: lovageshift.Rank(rank), Objective: 500, QueueDeadline: now + 250,
 				PromptTokens: 1000, OutputTokens: kind.output, ExpectedOutput: kind.output,
 			}
-			s.Submit(now, s.PickGroup(pool, 0.5), placement.Coordinator, job, func(d placement.Decision) {
+			s.Submit(now, s.PickGroup(&placement.Job{Service: pool}, 0.5), placement.Coordinator, job, func(d placement.Decision) {
 				if d.Slot == nil {
 					return
 				}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -56,7 +56,7 @@
 		job.QueueDeadline = now + 250
 	}
 	sub := &submission{}
-	sub.waiter = s.Submit(now, s.PickGroup(pool, 0.5), placement.Coordinator, job, func(d placement.Decision) { sub.Decision = d })
+	sub.waiter = s.Submit(now, s.PickGroup(&placement.Job{Service: pool}, 0.5), placement.Coordinator, job, func(d placement.Decision) { sub.Decision = d })
 	return sub
 }
 
@@ -213,7 +213,7 @@
 	service := &catalog.Service{ID: pool, Engine: true}
 	reserve := func(s *placement.Scheduler, now lovageshift.Millis, id uint64) placement.Reply {
 		job := &placement.Job{Arrived: now, QueueDeadline: now + 250, Objective: 500}
-		return s.Reserve(now, peer, id, s.PickGroup(pool, 0), placement.Coordinator, job, func(placement.Reply) {})
+		return s.Reserve(now, peer, id, s.PickGroup(&placement.Job{Service: pool}, 0), placement.Coordinator, job, func(placement.Reply) {})
 	}
 	Convey("A repeated reservation request gets the same slot, and a repeated end message frees that slot only once", t, func() {
 		s := newScheduler(service, targets(1, 2)...)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -197,12 +197,13 @@
 	s.assignAll(now, everyWaiter)
 }
 
-// PickGroup returns the group of the service in which to request a slot, or "" if the service has no targets. The
-// probability of a group is nearly proportional to its free slots if point is uniformly random in [0, 1).
-func (s *Scheduler) PickGroup(service catalog.ServiceID, point float64) GroupID {
+// PickGroup returns the group of the job's service in which to request a slot, or "" if the service has no targets. The
+// probability of a group is nearly proportional to its free slots, at targets that can run the job, if point is uniformly
+// random in [0, 1).
+func (s *Scheduler) PickGroup(job *Job, point float64) GroupID {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	groups := s.groupsByService[service]
+	groups := s.groupsByService[job.Service]
 	if len(groups) < 2 {
 		return firstGroup(groups)
 	}
@@ -210,11 +211,12 @@
 	total := 0.0
 	for i, group := range groups {
 		for _, t := range s.groups[group] {
-			free[i] += float64(max(t.slots()-t.running(), 0))
+			if job.fits(t) {
+				// A target without known free slots keeps a small weight, as other entries report the end of their requests only
+				// with a delay.
+				free[i] += float64(max(t.slots()-t.running(), 0)) + 0.1
+			}
 		}
-		// A group without known free slots keeps a small weight, as other entries report the end of their requests only
-		// with a delay.
-		free[i] += float64(len(s.groups[group])) / 10
 		total += free[i]
 	}
 	rest := point * total
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -8,7 +8,7 @@
 )
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
-// this entry does not know the target's incarnation, and ErrOverLimit if the granter does not know the target's limit and
+// this entry does not know the target's incarnation, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
 // the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
@@ -17,6 +17,9 @@
 	if t == nil || t.Born != grant.Born {
 		return nil, ErrUnknownTarget
 	}
+	if !job.fits(t) { // granted by an entry of an earlier build
+		return nil, ErrOtherVersion
+	}
 	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
 		return nil, ErrOverLimit
 	}
@@ -29,6 +32,7 @@
 // Errors of AcquireGranted.
 var (
 	ErrUnknownTarget = errors.New("the slot is at an unknown target")
+	ErrOtherVersion  = errors.New("the target has another version of its software than the job needs")
 	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
 )
 
--- a/placement/speed_test.go
+++ b/placement/speed_test.go
@@ -96,7 +96,7 @@
 		PromptTokens: k.prompt, OutputTokens: k.most, ExpectedOutput: lovageshift.Tokens(estimate),
 		MaxGap: maxGap, Deadline: arrived + k.deadline,
 	}
-	s.scheduler.Submit(s.now, s.scheduler.PickGroup(pool, 0.5), placement.Coordinator, job, func(decision placement.Decision) {
+	s.scheduler.Submit(s.now, s.scheduler.PickGroup(&placement.Job{Service: pool}, 0.5), placement.Coordinator, job, func(decision placement.Decision) {
 		if decision.Refusal != nil {
 			s.results[k.name].refused++
 			return
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -105,12 +105,14 @@
 		Retry:     retry.Bounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow},
 		Placement: placement.ColdBounds{ColdOvershoot: bounds.ColdOvershoot, ColdSlack: bounds.ColdSlack},
 		Quota:     quota.Tolerance{Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack},
+
+		FirstStart: settings.FirstStart,
 	})
 	self, err := netip.ParseAddr(settings.Host)
 	if err != nil {
 		return nil, trace.Wrap(err, "parse the address of this VM")
 	}
-	packetConn, err := net.ListenPacket("udp4", internalAddress(settings, 0))
+	packetConn, err := net.ListenPacket("udp4", internalAddress(settings.Host, settings.PeerPort, 0))
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for other entries")
 	}
@@ -140,7 +142,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listen for the load balancer")
 	}
-	operatorListener, err := net.Listen("tcp", internalAddress(p.settings, operatorPortOffset))
+	operatorListener, err := net.Listen("tcp", internalAddress(p.settings.Host, p.settings.PeerPort, operatorPortOffset))
 	if err != nil {
 		return trace.Wrap(err, "listen for operators")
 	}
@@ -203,9 +205,10 @@
 	p.log.Info("stop", "afterMillis", p.clock.Now()-started, "cut", err != nil)
 }
 
-// internalAddress returns the IP:port on this VM whose port is the one for messages between entries plus the offset.
-func internalAddress(settings platform.Settings, offset uint16) string {
-	return net.JoinHostPort(settings.Host, strconv.Itoa(int(settings.PeerPort+offset)))
+// internalAddress returns the IP:port on the VM of the host whose port is the one for messages between entries plus the
+// offset.
+func internalAddress(host string, peerPort, offset uint16) string {
+	return net.JoinHostPort(host, strconv.Itoa(int(peerPort+offset)))
 }
 
 // operatorHandler serves the metrics, the status of the entry and, by request id, the recent log lines about one request.
--- a/refusal.go
+++ b/refusal.go
@@ -60,8 +60,9 @@
 	ReasonEngineAnswerMalformed Reason = "engineGarbage"
 	ReasonEngineAnswerTooLarge  Reason = "engineTooMuch"
 	ReasonEngineTimeout         Reason = "engineTimeout"
-	ReasonSlowCaller            Reason = "slowCaller" // the caller disconnected or reads the response too slowly
-	ReasonStopping              Reason = "stopping"   // the entry is shutting down
+	ReasonSlowCaller            Reason = "slowCaller"    // the caller disconnected or reads the response too slowly
+	ReasonStopping              Reason = "stopping"      // the entry is shutting down
+	ReasonStreamUnknown         Reason = "streamUnknown" // it is not known which software version began the stream that the request goes on with
 )
 
 // Status returns the HTTP status code of a response that reports the reason, which is 503 for
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -67,14 +67,14 @@
 // Reserve waits until the job gets a slot or a refusal. The job is refused as soon as it is expected to get no slot by
 // its queue deadline, and when the context ends.
 func (c *Client) Reserve(ctx context.Context, job *placement.Job) placement.Decision {
-	group := c.scheduler.PickGroup(job.Service, rand.Float64())
+	group := c.scheduler.PickGroup(job, rand.Float64())
 	for range maxCoordinators {
 		coordinator := c.coordinatorOf(group)
 		if coordinator == c.peers.Self() {
 			return c.submitLocally(ctx, group, c.roleIn(group), job)
 		}
 		decision, err := c.requestSlot(ctx, coordinator, group, job)
-		for errors.Is(err, placement.ErrOverLimit) {
+		for errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) {
 			decision, err = c.requestSlot(ctx, coordinator, group, job)
 		}
 		if err == nil {
@@ -224,6 +224,7 @@
 		ObjectiveMillis: int64(job.Objective), PromptTokens: int64(job.PromptTokens), OutputTokens: int64(job.OutputTokens),
 		Returned: job.RefusedBefore, Zone: string(job.Zone),
 		ExpectedOutput: int64(job.ExpectedOutput), MaxGapMillis: int64(job.MaxGap),
+		HasVersion: job.HasVersion, Version: string(job.Version),
 	}
 	if job.Deadline > 0 {
 		message.DeadlineMillis = max(int64(job.Deadline-now), 1)
@@ -281,6 +282,8 @@
 
 		ExpectedOutput: lovageshift.Tokens(request.ExpectedOutput),
 		MaxGap:         lovageshift.Millis(request.MaxGapMillis),
+		HasVersion:     request.HasVersion,
+		Version:        lovageshift.SoftwareVersion(request.Version),
 	}
 	if request.DeadlineMillis > 0 {
 		job.Deadline = now + lovageshift.Millis(request.DeadlineMillis)
--- /dev/null
+++ b/stream/client.go
@@ -0,0 +1,231 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"lovageshift"
+	"lovageshift/exchange"
+	"lovageshift/wire"
+)
+
+const (
+	// How long to wait for the answers of recorders before they are asked again, and how often they are asked.
+	askInterval = 40 * time.Millisecond
+	askRounds   = 3
+	// Most other entries that are named to a recorder.
+	namedEntries = 8
+)
+
+var (
+	// ErrUnknown is returned by Client.Find if no recorder knows where the stream began.
+	ErrUnknown = errors.New("no recorder knows which software version began the stream")
+	// ErrNoAnswer is returned by Client.Find if some recorders did not answer and the others do not know.
+	ErrNoAnswer = errors.New("not all recorders answered which software version began the stream")
+)
+
+// Sender sends datagrams, which may be lost.
+type Sender interface {
+	Send(to netip.Addr, packet *wire.EntryPacket)
+}
+
+// Peers sends messages and knows the other entries.
+type Peers interface {
+	Sender
+	// Live returns the addresses of the other entries that are live, in a slice of its own.
+	Live() []netip.Addr
+}
+
+// Client records for an entry where streams began, and finds it. It is safe for concurrent use once SetPeers was called.
+type Client struct {
+	clock     lovageshift.Clock
+	peers     Peers
+	ledger    *Ledger
+	recorders *Recorders
+
+	mutex sync.Mutex
+	// asking holds the channels for the answers to the questions that are open, by attempt.
+	asking map[AttemptHash][]chan answer
+}
+
+// answer is a recorder's answer to the question where a stream began.
+type answer struct {
+	from   netip.Addr
+	origin Origin
+	known  bool
+}
+
+// NewClient returns a client that knows no streams and no recorders.
+func NewClient(clock lovageshift.Clock) *Client {
+	return &Client{
+		clock: clock, ledger: NewLedger(), recorders: NewRecorders(), asking: map[AttemptHash][]chan answer{},
+	}
+}
+
+// SetPeers sets the connection to recorders and to the other entries.
+func (c *Client) SetPeers(peers Peers) { c.peers = peers }
+
+// Report adds the recorders in use to a state update.
+func (c *Client) Report(now lovageshift.Millis, update *wire.EntryNews) {
+	for _, chosen := range c.recorders.Chosen(now) {
+		update.Recorders = append(update.Recorders, exchange.IPv4Number(chosen.Address))
+		update.RecorderMillis = append(update.RecorderMillis, uint32(chosen.Age))
+	}
+}
+
+// Merge takes over the recorders that another entry uses.
+func (c *Client) Merge(now lovageshift.Millis, update *wire.EntryNews) {
+	for i, number := range update.Recorders {
+		if i < len(update.RecorderMillis) {
+			c.recorders.Reported(now-lovageshift.Millis(update.RecorderMillis[i]), exchange.IPv4Address(number))
+		}
+	}
+}
+
+// Record records where the attempt's stream began, here and at recorders.
+func (c *Client) Record(attempt string, origin Origin) {
+	now := c.clock.Now()
+	hash := HashOf(attempt)
+	c.ledger.Add(now, hash, origin)
+	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamBegan{StreamBegan: OriginMessage(hash, origin)}}
+	keepers, _ := KeepersOf(hash, c.addresses(now))
+	for _, keeper := range keepers {
+		c.peers.Send(keeper, packet)
+	}
+}
+
+// addresses returns the recorders in use or, where there are none, the other entries.
+func (c *Client) addresses(now lovageshift.Millis) []netip.Addr {
+	chosen := c.recorders.Chosen(now)
+	if len(chosen) == 0 {
+		return c.peers.Live()
+	}
+	addresses := make([]netip.Addr, 0, len(chosen))
+	for _, recorder := range chosen {
+		addresses = append(addresses, recorder.Address)
+	}
+	return addresses
+}
+
+// Find returns where the attempt's stream began. It asks recorders if this entry does not know.
+func (c *Client) Find(ctx context.Context, attempt string) (Origin, error) {
+	now := c.clock.Now()
+	hash := HashOf(attempt)
+	if origin, known := c.ledger.Find(now, hash); known {
+		return origin, nil
+	}
+	keepers, others := KeepersOf(hash, c.addresses(now))
+	all := slices.Concat(keepers, others, c.recorders.Leaving(now))
+	answers, stop := c.ask(hash, askRounds*len(all)+1)
+	defer stop()
+	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamAsk{StreamAsk: &wire.StreamAsk{Attempt: uint64(hash)}}}
+	answered := map[netip.Addr]bool{}
+	asked := keepers
+	for range askRounds {
+		for _, recorder := range asked {
+			if !answered[recorder] {
+				c.peers.Send(recorder, packet)
+			}
+		}
+		if origin, known := await(ctx, answers, answered, len(asked)); known {
+			return origin, nil
+		}
+		if len(all) > 0 && len(answered) == len(all) {
+			return Origin{}, ErrUnknown
+		}
+		asked = all // the recorders in use may have changed since the stream began
+	}
+	return Origin{}, ErrNoAnswer
+}
+
+// ask registers a channel for the answers where the attempt's stream began. The returned function ends that.
+func (c *Client) ask(attempt AttemptHash, most int) (chan answer, func()) {
+	answers := make(chan answer, most)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asking[attempt] = append(c.asking[attempt], answers)
+	return answers, func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.asking[attempt] = slices.DeleteFunc(c.asking[attempt], func(other chan answer) bool { return other == answers })
+		if len(c.asking[attempt]) == 0 {
+			delete(c.asking, attempt)
+		}
+	}
+}
+
+// await waits for the first answer that knows the origin, until the given number of recorders have answered, for askInterval
+// at most. It adds those that answered to the set.
+func await(ctx context.Context, answers chan answer, answered map[netip.Addr]bool, count int) (Origin, bool) {
+	timer := time.NewTimer(askInterval)
+	defer timer.Stop()
+	for len(answered) < count {
+		select {
+		case a := <-answers:
+			if a.known {
+				return a.origin, true
+			}
+			answered[a.from] = true
+		case <-timer.C:
+			return Origin{}, false
+		case <-ctx.Done():
+			return Origin{}, false
+		}
+	}
+	return Origin{}, false
+}
+
+// deliver passes a recorder's answer to all who asked.
+func (c *Client) deliver(from netip.Addr, reply *wire.StreamReply) {
+	a := answer{from: from, known: reply.Origin != nil}
+	if a.known {
+		a.origin = OriginOf(reply.Origin)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, answers := range c.asking[AttemptHash(reply.Attempt)] {
+		select {
+		case answers <- a:
+		default: // full of answers that have not been read yet; recorders are asked again
+		}
+	}
+}
+
+// HandlePacket handles a message of a recorder, or of another entry about a stream, and reports whether it is one. Entries
+// are recorders where there are no others.
+func (c *Client) HandlePacket(now lovageshift.Millis, from netip.Addr, packet *wire.EntryPacket) bool {
+	switch body := packet.Body.(type) {
+	case *wire.EntryPacket_StreamReply:
+		c.deliver(from, body.StreamReply)
+	case *wire.EntryPacket_RecorderHello:
+		if body.RecorderHello.Leaving {
+			c.recorders.Left(now, from)
+		} else {
+			c.recorders.Heard(now, from)
+		}
+		c.peers.Send(from, &wire.EntryPacket{Body: &wire.EntryPacket_RecorderReply{RecorderReply: c.recorderReply(now, from)}})
+	default:
+		return c.ledger.handlePacket(now, c.peers, from, packet)
+	}
+	return true
+}
+
+// recorderReply returns the answer to a recorder's hello.
+func (c *Client) recorderReply(now lovageshift.Millis, recorder netip.Addr) *wire.RecorderReply {
+	reply := &wire.RecorderReply{}
+	live := c.peers.Live()
+	first := rand.IntN(len(live) + 1)
+	for i := range min(len(live), namedEntries) {
+		reply.Entries = append(reply.Entries, exchange.IPv4Number(live[(first+i)%len(live)]))
+	}
+	for _, chosen := range c.recorders.Chosen(now) {
+		reply.Recorders = append(reply.Recorders, exchange.IPv4Number(chosen.Address))
+		reply.Chosen = reply.Chosen || chosen.Address == recorder
+	}
+	return reply
+}
