--- a/soak/caller.go
+++ b/soak/caller.go
@@ -32,6 +32,9 @@
 	// A caller abandons one request in abandonOneIn, abandonAfter it was sent.
 	abandonOneIn = 25
 	abandonAfter = 60 * time.Millisecond
+	// A caller leaves one stream in leaveOneIn of those that it can take up again.
+	leaveOneIn   = 3
+	resumePrefix = "/resume/"
 	// Most requests that a caller sends in one series: the first one and its repeats.
 	maxTries = 3
 )
@@ -63,6 +66,11 @@
 	}
 }
 
+// leftStream reports whether the caller closed the connection after some events of a stream.
+func (a *Attempt) leftStream() bool {
+	return a.Request.LeaveAfter > 0 && len(a.Reply.EventIDs) >= a.Request.LeaveAfter
+}
+
 // Repeatable reports whether the route of the request allows it to run more than once.
 func (a *Attempt) Repeatable() bool {
 	return !strings.HasPrefix(a.Request.Path, "/chat/") && !strings.HasPrefix(a.Request.Path, "/book/")
@@ -82,8 +90,10 @@
 
 // caller sends one request after another over connections that it keeps open.
 type caller struct {
-	number       int
-	random       *rand.Rand
+	number int
+	random *rand.Rand
+	// leaving decides which streams the caller leaves, apart from random, so that the other requests of a seed stay the same.
+	leaving      *rand.Rand
 	testbed      *testbed
 	entries      []*entry
 	clock        lovageshift.Clock
@@ -95,7 +105,8 @@
 
 func newCaller(number int, seed uint64, t *testbed, entries []*entry, log *attemptLog) *caller {
 	c := &caller{
-		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), testbed: t, entries: entries,
+		number: number, random: rand.New(rand.NewPCG(seed, uint64(number))), leaving: rand.New(rand.NewPCG(^seed, uint64(number))),
+		testbed: t, entries: entries,
 		clock: t.clock, log: log, entryIndex: number % len(entries),
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -121,10 +132,13 @@
 // reported it as not run, sendWithRetries repeats it with a new id on the same route, after switchEntry, up to maxTries
 // requests in all. An abandoned request is not repeated.
 func (c *caller) sendWithRetries(ctx context.Context) {
-	prefixes := []string{"/chat/", "/resume/", "/book/", "/read/"}
+	prefixes := []string{"/chat/", resumePrefix, "/book/", "/read/"}
 	prefix := prefixes[c.random.IntN(len(prefixes))]
 	for range maxTries {
 		attempt := c.sendNew(ctx, prefix)
+		if prefix == resumePrefix {
+			c.takeUp(ctx, attempt)
+		}
 		if attempt.Reply.Status == http.StatusOK || ctx.Err() != nil || attempt.Abandoned {
 			return
 		}
@@ -135,6 +149,21 @@
 	}
 }
 
+// takeUp takes up a stream that the caller left or that broke off, through other entries, up to maxTries times.
+func (c *caller) takeUp(ctx context.Context, first *Attempt) {
+	last := first
+	for range maxTries {
+		if last.Abandoned && !last.leftStream() || last.Reply.Complete || len(first.Reply.EventIDs) == 0 || ctx.Err() != nil {
+			return
+		}
+		c.switchEntry()
+		request := first.Request
+		request.ID, request.Resumes, request.LeaveAfter = c.nextID(), first.Request.ID, 0
+		request.LastEventID = last.Request.LastEventID + len(last.Reply.EventIDs)
+		last = c.send(ctx, request, first.Account)
+	}
+}
+
 // switchEntry selects the next entry to which the load balancer sends new connections (entry.inRotation). If there is
 // none, it selects the same entry as before.
 func (c *caller) switchEntry() {
@@ -159,7 +188,10 @@
 		ID: id, Host: routeHost, Method: http.MethodPost, Path: prefix + id + "?q=" + id, Body: "body of " + id,
 		TimeoutMillis: routeMillis, PromptTokens: promptTokens, OutputTokens: outputTokens,
 	}
-	if prefix == "/chat/" || prefix == "/resume/" {
+	if prefix == resumePrefix && c.leaving.IntN(leaveOneIn) == 0 {
+		request.LeaveAfter = 1 + c.leaving.IntN(streamEvents-1)
+	}
+	if prefix == "/chat/" || prefix == resumePrefix {
 		request.PromptParts = fmt.Sprintf("%s,%d:5,%s:5", sharedPart, c.random.IntN(promptThemes), id)
 	}
 	if prefix == "/read/" {
@@ -184,6 +216,7 @@
 	attempt.Reply = standin.Send(sendCtx, c.transports[c.entryIndex],
 		c.entries[c.entryIndex].callerProxy.Address(), request)
 	attempt.Ended = c.clock.Now()
+	attempt.Abandoned = attempt.Abandoned || attempt.leftStream()
 	c.log.add(attempt)
 	return attempt
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -18,6 +18,7 @@
 	RefusedNotRun        Invariant = "a request refused as not run has not run"
 	RequestUnchanged     Invariant = "a target receives what the caller sent, for the account that holds the key"
 	ResponseIntact       Invariant = "a response belongs to its request, and a truncated one does not look complete"
+	OneVersion           Invariant = "a stream goes on only at the software version that began it"
 	StreamIntact         Invariant = "the events of a stream arrive once, in order, from one run"
 	KeysRevoked          Invariant = "a revoked key works nowhere after the revocation bound"
 	ZonesEvacuated       Invariant = "a zone that was taken out of service receives no requests after the evacuation bound"
@@ -109,7 +110,7 @@
 		History: h, attemptByID: h.indexAttempts(), arrivalsByID: h.indexArrivals(), counts: map[Invariant]int{},
 	}
 	for _, check := range []func(){
-		c.checkExits, c.checkAtMostOnce, c.checkRefusals, c.checkRequests, c.checkResponses, c.checkStreams,
+		c.checkExits, c.checkAtMostOnce, c.checkRefusals, c.checkRequests, c.checkResponses, c.checkStreams, c.checkVersions,
 		c.checkKeys, c.checkZones, c.checkDraining, c.checkColdRate, c.checkQuota, c.checkRetryBudget,
 		c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
 	} {
@@ -212,13 +213,13 @@
 	for _, attempt := range c.Attempts {
 		reply := attempt.Reply
 		for i, id := range reply.EventIDs {
-			if id != i+1 {
-				c.add(StreamIntact, "%s got event %d instead of %d", attempt.Request.ID, id, i+1)
+			if expected := attempt.Request.LastEventID + i + 1; id != expected {
+				c.add(StreamIntact, "%s got event %d instead of %d", attempt.Request.ID, id, expected)
 				break
 			}
 		}
-		if len(reply.EventIDs) > 0 && reply.Complete && len(reply.EventIDs) != streamEvents {
-			c.add(StreamIntact, "%s ended as complete after %d events", attempt.Request.ID, len(reply.EventIDs))
+		if received := attempt.Request.LastEventID + len(reply.EventIDs); len(reply.EventIDs) > 0 && reply.Complete && received != streamEvents {
+			c.add(StreamIntact, "%s ended as complete after %d events", attempt.Request.ID, received)
 		}
 		for _, target := range reply.Targets {
 			if target != reply.Targets[0] && !attempt.Repeatable() {
@@ -229,6 +230,34 @@
 	}
 }
 
+func (c *checker) checkVersions() {
+	for _, attempt := range c.Attempts {
+		first := attempt.Request.ID
+		if attempt.Request.Resumes != "" {
+			first = attempt.Request.Resumes
+		}
+		began, known := c.versionThatBegan(first)
+		for _, arrival := range c.executions(attempt.Request.ID) {
+			if known && arrival.LastEventID != "" && arrival.Version != began {
+				c.add(OneVersion, "%s went on at %s of version %s; the stream began as %s at version %s",
+					attempt.Request.ID, arrival.Target, arrival.Version, first, began)
+			}
+		}
+	}
+}
+
+// versionThatBegan returns the version of the target that sent the first event of the attempt: the last one that ran it from
+// the beginning.
+func (c *checker) versionThatBegan(id string) (string, bool) {
+	version, known := "", false
+	for _, arrival := range c.executions(id) {
+		if arrival.LastEventID == "" {
+			version, known = arrival.Version, true
+		}
+	}
+	return version, known
+}
+
 func (c *checker) checkKeys() {
 	for _, attempt := range c.Attempts {
 		revokedAt, revoked := c.KeysRevokedAt[attempt.Request.Key]
--- a/soak/check_rates.go
+++ b/soak/check_rates.go
@@ -99,7 +99,7 @@
 		}
 		for _, attempt := range c.Attempts {
 			isStream := strings.HasPrefix(attempt.Request.Path, "/chat/") ||
-				strings.HasPrefix(attempt.Request.Path, "/resume/")
+				strings.HasPrefix(attempt.Request.Path, resumePrefix)
 			if isStream == (service == streamService) {
 				sends = append(sends, attempt.Sent)
 			}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -73,6 +73,14 @@
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.RequestID = "r-2" }},
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Signed = false }},
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Body = "do" }},
+		{soak.OneVersion, "/resume/", func(a *soak.Attempt, arrival *soak.Arrival, h *soak.History) {
+			first := *arrival
+			first.ID, first.Version = "first", "v0"
+			arrival.Version, arrival.LastEventID = "v1", "2"
+			a.Request.Resumes, a.Request.LastEventID = "first", 2
+			a.Reply.EventIDs = []int{3}
+			h.Arrivals = append(h.Arrivals, first)
+		}},
 		{soak.StreamIntact, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.EventIDs = []int{1, 3} }},
 		{soak.StreamIntact, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.EventIDs = []int{1, 2} }},
 		{soak.StreamIntact, "/chat/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -15,10 +15,11 @@
 type Arrival struct {
 	standin.ReceivedRequest
 	At lovageshift.Millis
-	// Target is the id of the target. Service and Zone are those of the target.
+	// Target is the id of the target. Service, Zone and Version are those of the target.
 	Target  string
 	Service string
 	Zone    string
+	Version string
 	// Cold reports whether the target was cold when the request arrived.
 	Cold bool
 	// DrainingSince is when the target began to drain, 0 if it was not draining when the request arrived.
@@ -122,7 +123,7 @@
 		for _, i := range h.instances {
 			for _, received := range i.replica.Received() {
 				at := t.clock.Now() - lovageshift.Millis(time.Since(received.ReceivedAt).Milliseconds())
-				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Service: h.service, Zone: h.zone}
+				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Service: h.service, Zone: h.zone, Version: i.replica.Version}
 				arrival.Cold, arrival.ColdAgainAt = i.coldAt(at)
 				if i.drainingSince > 0 && at >= i.drainingSince {
 					arrival.DrainingSince = i.drainingSince
@@ -139,21 +140,27 @@
 	return all
 }
 
-// Summary returns one line with the number of requests, of responses by status, of incomplete responses with status 200
-// and of arrivals, and the kinds of the injected faults.
+// Summary returns one line with the number of requests, of responses by status, of incomplete responses with status 200,
+// of streams that callers took up and of those that went on, and of arrivals, and the kinds of the injected faults.
 func (h *History) Summary() string {
 	byStatus := map[int]int{}
-	incomplete := 0
+	incomplete, takenUp, wentOn := 0, 0, 0
 	for _, attempt := range h.Attempts {
 		byStatus[attempt.Reply.Status]++
 		if attempt.Reply.Status == http.StatusOK && !attempt.Reply.Complete {
 			incomplete++
 		}
+		if attempt.Request.LastEventID > 0 {
+			takenUp++
+		}
+		if attempt.Request.LastEventID > 0 && len(attempt.Reply.EventIDs) > 0 {
+			wentOn++
+		}
 	}
 	kinds := make([]string, 0, len(h.FaultPeriods))
 	for _, period := range h.FaultPeriods {
 		kinds = append(kinds, string(period.Kind))
 	}
-	return fmt.Sprintf("%d requests, %v by status, %d incomplete, %d arrivals, faults %s",
-		len(h.Attempts), byStatus, incomplete, len(h.Arrivals), strings.Join(kinds, " "))
+	return fmt.Sprintf("%d requests, %v by status, %d incomplete, %d of %d streams went on, %d arrivals, faults %s",
+		len(h.Attempts), byStatus, incomplete, wentOn, takenUp, len(h.Arrivals), strings.Join(kinds, " "))
 }
--- a/soak/target.go
+++ b/soak/target.go
@@ -21,6 +21,9 @@
 	// Time that a target takes for each event of a stream and for a plain response.
 	workTime      = 20 * time.Millisecond
 	headerTimeout = 10 * time.Second
+	// Targets of this many versions of their software are in service side by side. Each next target of a host has another
+	// one.
+	softwareVersions = 2
 	// The cold rate: requests per second that a cold target may receive.
 	coldPerSecond = 10.0
 	// Requests whose path begins with this crash the target that runs them.
@@ -117,6 +120,7 @@
 	}
 	replica := &standin.Replica{
 		ID: id, Service: h.service, Slots: targetSlots, ServiceTime: workTime,
+		Version: fmt.Sprintf("v%d", (h.number+len(h.instances))%softwareVersions),
 		CrashesOn: func(r *http.Request) bool {
 			return strings.HasPrefix(r.RequestURI, fatalPrefix) || strings.Contains(r.Header.Get(standin.HeaderPromptParts), fatalPart)
 		},
