Judge versions in the soak by the events that callers got

Cause: the check took the version that began a stream from the last target that ran the attempt from its beginning.

Change: the stand-in's events name their version, and the check compares those that the caller got, over its tries: as strict, and what the rule says.

--- a/soak/check.go
+++ b/soak/check.go
@@ -230,32 +230,25 @@
 	}
 }
 
+// checkVersions compares the version that wrote each event with the one that wrote the stream's first event.
 func (c *checker) checkVersions() {
 	for _, attempt := range c.Attempts {
-		first := attempt.Request.ID
+		first := attempt
 		if attempt.Request.Resumes != "" {
-			first = attempt.Request.Resumes
+			first = c.attemptByID[attempt.Request.Resumes]
 		}
-		began, known := c.versionThatBegan(first)
-		for _, arrival := range c.executions(attempt.Request.ID) {
-			if known && arrival.LastEventID != "" && arrival.Version != began {
-				c.add(OneVersion, "%s went on at %s of version %s; the stream began as %s at version %s",
-					attempt.Request.ID, arrival.Target, arrival.Version, first, began)
-			}
+		if first == nil || len(first.Reply.Versions) == 0 {
+			continue
 		}
-	}
-}
-
-// versionThatBegan returns the version of the target that sent the first event of the attempt: the last one that ran it from
-// the beginning.
-func (c *checker) versionThatBegan(id string) (string, bool) {
-	version, known := "", false
-	for _, arrival := range c.executions(id) {
-		if arrival.LastEventID == "" {
-			version, known = arrival.Version, true
+		began := first.Reply.Versions[0]
+		for _, version := range attempt.Reply.Versions {
+			if version != began {
+				c.add(OneVersion, "%s got events of version %s; the stream began as %s at version %s",
+					attempt.Request.ID, version, first.Request.ID, began)
+				break
+			}
 		}
 	}
-	return version, known
 }
 
 func (c *checker) checkKeys() {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -73,13 +73,13 @@
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.RequestID = "r-2" }},
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Signed = false }},
 		{soak.ResponseIntact, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Body = "do" }},
-		{soak.OneVersion, "/resume/", func(a *soak.Attempt, arrival *soak.Arrival, h *soak.History) {
-			first := *arrival
-			first.ID, first.Version = "first", "v0"
-			arrival.Version, arrival.LastEventID = "v1", "2"
+		{soak.OneVersion, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.Versions = []string{"v0", "v1"} }},
+		{soak.OneVersion, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, h *soak.History) {
+			first := *a
+			first.Request.ID, first.Reply.RequestID, first.Reply.Versions = "first", "first", []string{"v0"}
+			h.Attempts = append(h.Attempts, &first)
 			a.Request.Resumes, a.Request.LastEventID = "first", 2
-			a.Reply.EventIDs = []int{3}
-			h.Arrivals = append(h.Arrivals, first)
+			a.Reply.EventIDs, a.Reply.Versions, a.Reply.Complete = []int{3}, []string{"v1"}, false
 		}},
 		{soak.StreamIntact, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.EventIDs = []int{1, 3} }},
 		{soak.StreamIntact, "/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) { a.Reply.EventIDs = []int{1, 2} }},
--- a/soak/history.go
+++ b/soak/history.go
@@ -15,11 +15,10 @@
 type Arrival struct {
 	standin.ReceivedRequest
 	At lovageshift.Millis
-	// Target is the id of the target. Service, Zone and Version are those of the target.
+	// Target is the id of the target. Service and Zone are those of the target.
 	Target  string
 	Service string
 	Zone    string
-	Version string
 	// Cold reports whether the target was cold when the request arrived.
 	Cold bool
 	// DrainingSince is when the target began to drain, 0 if it was not draining when the request arrived.
@@ -123,7 +122,7 @@
 		for _, i := range h.instances {
 			for _, received := range i.replica.Received() {
 				at := t.clock.Now() - lovageshift.Millis(time.Since(received.ReceivedAt).Milliseconds())
-				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Service: h.service, Zone: h.zone, Version: i.replica.Version}
+				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Service: h.service, Zone: h.zone}
 				arrival.Cold, arrival.ColdAgainAt = i.coldAt(at)
 				if i.drainingSince > 0 && at >= i.drainingSince {
 					arrival.DrainingSince = i.drainingSince
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -48,7 +48,9 @@
 	// Targets holds, for each line of the body that contains " of ", the text after it, as the id of the target that
 	// wrote the line. Replica writes no such lines.
 	Targets []string
-	Body    string
+	// Versions holds the version of the Replica that wrote it for each event of a stream, in order of arrival.
+	Versions []string
+	Body     string
 	// Complete is set if the body arrived to its end; it is not set if the connection broke before.
 	Complete bool
 }
@@ -111,7 +113,7 @@
 	}
 }
 
-// readLine adds what a line of the body tells about the stream: an event id or a target.
+// readLine adds what a line of the body tells about the stream: an event id, a version or a target.
 func (r *Reply) readLine(line string) {
 	if number, found := strings.CutPrefix(line, "id: "); found {
 		id, err := strconv.Atoi(strings.TrimSpace(number))
@@ -119,6 +121,9 @@
 			r.EventIDs = append(r.EventIDs, id)
 		}
 	}
+	if _, version, found := strings.Cut(line, versionMark); found && strings.HasSuffix(version, "\n") {
+		r.Versions = append(r.Versions, strings.TrimSpace(version))
+	}
 	if _, target, found := strings.Cut(line, " of "); found {
 		r.Targets = append(r.Targets, strings.TrimSpace(target))
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -147,16 +147,22 @@
 	if registration.Draining {
 		state = "draining"
 	}
-	version := r.Version
-	if version == "" {
-		version = "v1"
-	}
 	return map[string]any{
-		"service": r.Service, "address": registration.Address, "zone": registration.Zone, "version": version, "slots": r.Slots,
+		"service": r.Service, "address": registration.Address, "zone": registration.Zone, "version": r.version(), "slots": r.Slots,
 		"state": state, "cold_remaining_ms": registration.ColdMillis, "seq": registration.Sequence, "born": registration.Born,
 	}
 }
 
+func (r *Replica) version() string {
+	if r.Version == "" {
+		return "v1"
+	}
+	return r.Version
+}
+
+// versionMark precedes the replica's version in the data of an event.
+const versionMark = " at version "
+
 // ServeHTTP runs or refuses one request. A request that is meant for another replica gets status 421; one that finds no
 // free slot gets status 503 and the header that says that it did not run.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
@@ -274,7 +280,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number))
+		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: piece %d%s%s\n\n", number, number, versionMark, r.version()))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
