--- a/cmd/lovageshift/gateway.go
+++ b/cmd/lovageshift/gateway.go
@@ -5,7 +5,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"lovageshift/platform"
@@ -41,9 +40,9 @@
 		Long:  gatewayHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			path := os.Getenv(platform.SettingsVariable)
-			if path == "" {
-				return trace.BadParameter("%s is not set to the path of a settings file", platform.SettingsVariable)
+			path, err := settingsPath()
+			if err != nil {
+				return err
 			}
 			return process.RunGateway(command.Context(), path, hangups)
 		},
--- a/cmd/lovageshift/recorder.go
+++ b/cmd/lovageshift/recorder.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"os"
-
-	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"lovageshift/platform"
@@ -23,9 +20,9 @@
 		Long:  recorderHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			path := os.Getenv(platform.SettingsVariable)
-			if path == "" {
-				return trace.BadParameter("%s is not set to the path of a settings file", platform.SettingsVariable)
+			path, err := settingsPath()
+			if err != nil {
+				return err
 			}
 			return process.RunRecorder(command.Context(), path)
 		},
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -82,21 +82,33 @@
 // the list counts as removed, and a zone that is not in the list as back in service. If the list has no catalog, the
 // current one stays. The parameter storeBackAt is as in Apply.
 func (r *Records) Replace(now, storeBackAt lovageshift.Millis, items []platform.Item) {
+	for _, item := range items {
+		r.Apply(now, storeBackAt, item)
+	}
+	for _, zone := range r.missing(now, storeBackAt, items) {
+		r.restoreZone(now, zone)
+	}
+}
+
+// missing handles the targets that a complete list of the records lacks as removed, and returns the availability zones out of
+// service that it lacks.
+func (r *Records) missing(now, storeBackAt lovageshift.Millis, items []platform.Item) []lovageshift.ZoneID {
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
-		r.Apply(now, storeBackAt, item)
 	}
 	for id := range r.targets {
 		if !listed[platform.TargetKey(id)] {
 			r.removeTarget(now, storeBackAt, id)
 		}
 	}
+	var zones []lovageshift.ZoneID
 	for zone := range r.zonesOut {
 		if !listed[platform.ZoneOutKey(zone)] {
-			r.restoreZone(now, zone)
+			zones = append(zones, zone)
 		}
 	}
+	return zones
 }
 
 // Apply applies one record or its removal. The parameter storeBackAt is when the store was last found reachable again
--- a/discovery/restored.go
+++ b/discovery/restored.go
@@ -24,22 +24,13 @@
 		held:     map[lovageshift.TargetID]platform.Item{},
 		zones:    map[lovageshift.ZoneID]bool{},
 	}
-	listed := map[string]bool{}
 	for _, item := range items {
-		listed[item.Key] = true
 		if !r.hold(item) {
 			r.Apply(now, now, item)
 		}
 	}
-	for id := range r.targets {
-		if !listed[platform.TargetKey(id)] {
-			r.removeTarget(now, now, id)
-		}
-	}
-	for zone := range r.zonesOut {
-		if !listed[platform.ZoneOutKey(zone)] {
-			r.restored.zones[zone] = true
-		}
+	for _, zone := range r.missing(now, now, items) {
+		r.restored.zones[zone] = true
 	}
 }
 
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -15,28 +15,15 @@
 )
 
 const (
-	// How long a watch of the store waits for a change.
-	watchMillis lovageshift.Millis = 1200
-	// The pause after a watch that returned changes, so that the next watch fetches all changes of that time in one call.
-	coalesceMillis lovageshift.Millis = 500
 	// A failed call to the store is retried after a random time between these two.
 	backoffMinMillis lovageshift.Millis = 40
 	backoffMaxMillis lovageshift.Millis = 400
 	// The store counts as unreachable once calls to it have failed for longer than this.
 	storeUnreachableMillis lovageshift.Millis = 1000
-	// The most pages that are read of a complete list of the records. Records on later pages are ignored.
-	maxPages = 64
 	// Stands for the time since the last confirmation if there was none.
 	neverConfirmed lovageshift.Millis = 1 << 40
 )
 
-// errNewEra is the error of a call whose response shows that the store has come back from an older copy: all records have to
-// be read. errOlderEra is the error of a call whose response is from before that.
-var (
-	errNewEra   = errors.New("the store has come back from an older copy")
-	errOlderEra = errors.New("the store's response is from an era before")
-)
-
 // Store is the part of the platform's metadata store that a tracker reads.
 type Store interface {
 	// Range returns one page of the records whose keys are greater than after, in key order. With "" it starts at the
@@ -211,128 +198,6 @@
 	t.metrics.Add(metrics.StoreCalls, "answered", 1)
 }
 
-// readPages returns the records of the first maxPages pages in the store, and the store position of the first page.
-func readPages(ctx context.Context, store Store, address string) ([]platform.Item, lovageshift.StorePosition, error) {
-	var items []platform.Item
-	var position lovageshift.StorePosition
-	after := ""
-	for pageNumber := range maxPages {
-		page, err := store.Range(ctx, address, after)
-		if err != nil {
-			return nil, position, err
-		}
-		if pageNumber == 0 {
-			position = page.Position
-		}
-		if page.Position.Era != position.Era {
-			return nil, position, errNewEra
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-	return items, position, nil
-}
-
-// ReadView reads all records once. It returns the view that a newly started entry would publish and the changes that
-// the entry would log. The view's Catalog is nil if the store holds no valid catalog.
-func ReadView(ctx context.Context, store Store, address string) (*catalog.View, []Change, error) {
-	items, _, err := readPages(ctx, store, address)
-	if err != nil {
-		return nil, nil, err
-	}
-	records := NewRecords()
-	records.Replace(0, 0, items)
-	return records.View(0), records.Changes(), nil
-}
-
-// readAll reads all records, publishes their view and returns the store position of the first page. The next watch starts
-// from there, as the pages are not one consistent snapshot: a record may change while they are read. The parameter before
-// is the position of the local copy.
-func (t *Tracker) readAll(ctx context.Context, before lovageshift.StorePosition) (lovageshift.StorePosition, error) {
-	sentAt := t.clock.SinceBoot()
-	items, position, err := readPages(ctx, t.store, t.address())
-	if err != nil {
-		return before, err
-	}
-	if isOlderEra(position, before) {
-		return before, errOlderEra
-	}
-	t.recordSuccess()
-	now := t.clock.Now()
-	if before.Revision > 0 && position.Era != before.Era {
-		t.storeBackAt = now
-		t.records.Restore(now, items)
-	} else {
-		t.records.Replace(now, t.storeBackAt, items)
-	}
-	t.publish()
-	t.setPosition(position, sentAt)
-	t.passOnRead(before, position)
-	return position, nil
-}
-
-// isOlderEra reports whether a response of the store is from an era before that of the position. It was delayed, or comes
-// from a part of the store that has not been restored yet.
-func isOlderEra(response, position lovageshift.StorePosition) bool {
-	return response.Era > 0 && response.Era < position.Era
-}
-
-// watchOnce waits for changes after the position, publishes them and, as a reader, passes them on. It returns the position
-// to watch from next, which stays the same if the watch failed.
-func (t *Tracker) watchOnce(ctx context.Context, position lovageshift.StorePosition) (lovageshift.StorePosition, error) {
-	sentAt := t.clock.SinceBoot()
-	page, err := t.store.Watch(ctx, t.address(), position.Revision, t.nextWatchWait())
-	if err != nil {
-		return position, err
-	}
-	if isOlderEra(page.Position, position) {
-		return position, errOlderEra
-	}
-	t.recordSuccess()
-	if page.Position.Era != position.Era {
-		t.log.Info("storeEraChanged", "before", position.Era, "era", page.Position.Era,
-			"position", position.Revision, "revision", page.Position.Revision, "records", len(page.Items))
-		return position, errNewEra
-	}
-	if page.Position.Revision > 0 && page.Position.Older(position) {
-		// Another entry sent changes up to a revision that the store does not have.
-		return position, platform.ErrHistoryGone
-	}
-	next := position
-	next.Revision = max(next.Revision, page.Position.Revision)
-	if len(page.Items) == 0 {
-		t.setPosition(next, sentAt)
-		return next, nil
-	}
-	now := t.clock.Now()
-	for _, item := range page.Items {
-		t.records.Apply(now, t.storeBackAt, item)
-	}
-	t.publish()
-	t.setPosition(next, sentAt)
-	if t.isReader() {
-		t.passOn(position.Revision, next, page.Items)
-		lovageshift.Pause(ctx, coalesceMillis.Duration())
-	}
-	return next, nil
-}
-
-// nextWatchWait returns how long the next watch waits for a change. While Expire will change the records soon, it is a
-// quarter of watchMillis, as Expire runs only after each watch.
-func (t *Tracker) nextWatchWait() lovageshift.Millis {
-	switch {
-	case !t.isReader() && !t.storeUnreachable:
-		return probeWatchMillis
-	case t.records.awaitsExpiry():
-		return watchMillis / 4
-	default:
-		return watchMillis
-	}
-}
-
 // publish logs and counts the changes of the records. If there is a catalog, it then publishes a new view and calls the
 // functions registered with OnChange with it.
 func (t *Tracker) publish() {
--- a/process/doc.go
+++ b/process/doc.go
@@ -1,4 +1,4 @@
-// Package process assembles and runs an entry or agent from its settings. There
+// Package process assembles and runs an entry, agent or recorder from its settings. There
 // are two kinds of entry: one that sends requests through agents (RunEntry), and
 // one on the users' platform that reaches targets without agents (RunGateway).
 // The second kind is also called a gateway.
