Let entries record for each other where streams began, without processes beside targets

Entries ask four others beside the four that keep an origin, in place of all, which would be 200 datagrams a question at 103 entries.

What it leaves unmet: after a loss of all entries with several versions in service, none of the older streams goes on, where half are wanted (ORDER never at LOST's cost).

--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -137,3 +137,17 @@
 		So(joined, ShouldEqual, 0)
 	})
 }
+
+// Without processes that outlive a loss of all entries, nobody knows then at which version a stream began, and all are refused.
+func TestStreamsGoOnAfterAllEntriesAreLost(t *testing.T) {
+	const count = 60
+	Convey("Half of the streams go on after the end of all entries", t, func() {
+		i := versionsInstallation()
+		defer i.stop()
+		streams := i.beginStreams(count)
+		i.restart(0, 1, 2)
+		i.takeUp(streams)
+		wentOn, _ := i.count(streams)
+		So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
+	})
+}
--- a/stream/recorders.go
+++ b/stream/recorders.go
@@ -121,13 +121,13 @@
 	return score
 }
 
-// KeepersOf returns the addresses, of those given, at which the origin of the attempt's stream is recorded, and after them the
-// others in the order of their scores: if some were not reachable or known then, one of these may have it.
+// KeepersOf returns the addresses, of those given, at which the origin of the attempt's stream is recorded, and as many that
+// may have it if some of the first were not in the list then.
 func KeepersOf(attempt AttemptHash, addresses []netip.Addr) (keepers, others []netip.Addr) {
 	key := strconv.FormatUint(uint64(attempt), 16)
 	sorted := slices.SortedFunc(slices.Values(addresses), func(a, b netip.Addr) int {
 		return cmp.Compare(membership.Score(key, b.String()), membership.Score(key, a.String()))
 	})
 	count := min(len(sorted), copies)
-	return sorted[:count], sorted[count:]
+	return sorted[:count], sorted[count:min(len(sorted), 2*copies)]
 }
