Let the soak's settings say that a restarted entry is no first start

Cause: they said bootstrap for every start, where the platform says it for the first start of the whole installation only. Entries now rely on it: at a first start no stream can be older than what they have seen.

Change: the settings file is written again after an entry's first exit.

--- a/soak/entry.go
+++ b/soak/entry.go
@@ -64,6 +64,9 @@
 		err := cmd.Wait()
 		stopKill()
 		e.recordExit(err)
+		if err := e.markRestarted(); err != nil {
+			return err
+		}
 		lovageshift.Pause(ctx, restartDelay)
 	}
 	return nil
--- a/soak/run.go
+++ b/soak/run.go
@@ -160,6 +160,20 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.settingsChanges++
+	return e.writeSettings()
+}
+
+// markRestarted makes the settings say that the installation no longer starts for the first time, as the platform's do when
+// it starts a process again.
+func (e *entry) markRestarted() error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.vm.Restarted = true
+	return e.writeSettings()
+}
+
+// writeSettings writes the settings file. The caller holds the mutex.
+func (e *entry) writeSettings() error {
 	changed := e.vm
 	first := e.settingsChanges % len(changed.Seeds)
 	changed.Seeds = slices.Concat(changed.Seeds[first:], changed.Seeds[:first])
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -74,6 +74,8 @@
 	// FirstPort is the lowest port that the VM's processes use; the entry serves callers on it.
 	FirstPort int
 	Bounds    map[string]any // the settings under "bounds", by their names in the file
+	// Restarted is set once the whole installation has started for the first time.
+	Restarted bool
 }
 
 // Settings returns the content of the settings file, as JSON.
@@ -83,7 +85,7 @@
 		seeds = append(seeds, hostPort(seed, v.FirstPort+controlOffset))
 	}
 	return json.Marshal(map[string]any{
-		"node_name": v.Name, "zone": v.Zone, "ip_address": v.Host, "seeds": seeds, "bounds": v.Bounds, "bootstrap": true,
+		"node_name": v.Name, "zone": v.Zone, "ip_address": v.Host, "seeds": seeds, "bounds": v.Bounds, "bootstrap": !v.Restarted,
 		"listen": map[string]any{
 			"front": v.CallerAddress(), "ready": v.ReadinessAddress(),
 			"control": hostPort(v.Host, v.FirstPort+controlOffset),
