Bind no stream to the version of a target that may have started again

Cause: a target was killed and came back under its id with another version. An entry whose link to the store was cut one way had its old record for 3 s more (targetSeen at 20.4 s at two entries, 23.3 s at that one), recorded streams that the new incarnation began at the old version, and sent others to it.

Change: for 5 s after a connection to a target failed or was lost, or once the view has another incarnation, an entry neither records streams that begin there, nor resumes them, nor sends it requests that need a version.

Requests that need no version are placed as before. Events of the stand-in name the version in a line of its own, as TestBrokenStreams compares the line before it.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,6 +83,8 @@
 	// release is the software version at which the request's stream began, hasRelease whether there is one.
 	release    lovageshift.SoftwareVersion
 	hasRelease bool
+	// releaseUnknown is set if the stream began at a target whose version is not known.
+	releaseUnknown bool
 	// runs counts the attempts in which a target may have run the request.
 	runs int
 	// headerSent is set once the header of a target's response has been written to the caller.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -68,7 +68,7 @@
 // from now on.
 func (r *request) startRetry(ctx context.Context, result attemptResult) bool {
 	g := r.gateway
-	if ctx.Err() != nil || result.final {
+	if ctx.Err() != nil || result.final || r.releaseUnknown {
 		return false
 	}
 	if result.refusal.Outcome != lovageshift.OutcomeNotRun && !(r.route.Repeatable() && r.runs < r.route.Attempts) {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -57,14 +57,20 @@
 	return g.streams.Find(ctx, attempt)
 }
 
-// bindRelease binds the request's stream to the software version of the target that sends its first event.
+// bindRelease binds the request's stream to the software version of the target that sends its first event. If that may have
+// started again, its version is not known, and neither an entry nor the caller can go on with the stream.
 func (r *request) bindRelease(slot *placement.Slot) {
+	g := r.gateway
 	if r.hasRelease {
 		return
 	}
+	if g.scheduler.MayHaveRestarted(g.clock.Now(), slot) {
+		r.releaseUnknown = true
+		return
+	}
 	r.release, r.hasRelease = slot.Target.Version, true
 	r.job.Version, r.job.HasVersion = r.release, true
 	if r.route.Resumable {
-		r.gateway.streams.Record(r.headers.ID, stream.Origin{Service: r.service, Version: r.release})
+		g.streams.Record(r.headers.ID, stream.Origin{Service: r.service, Version: r.release})
 	}
 }
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -62,7 +62,7 @@
 // quorum and the target is below its cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
-	case !w.job.fits(t):
+	case !w.job.fits(t), w.job.HasVersion && t.mayHaveRestarted(now):
 		return false
 	case t.mayBeCold(now) && !(w.role != Other && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
 		return false
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -17,7 +17,7 @@
 	if t == nil || t.Born != grant.Born {
 		return nil, ErrUnknownTarget
 	}
-	if !job.fits(t) { // granted by an entry of an earlier build
+	if !job.fits(t) || job.HasVersion && t.mayHaveRestarted(now) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
 	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
@@ -79,3 +79,12 @@
 	defer s.mutex.Unlock()
 	slot.state.observe(now, true)
 }
+
+// MayHaveRestarted reports whether the slot's target may be another incarnation than the one for which the slot was granted.
+func (s *Scheduler) MayHaveRestarted(now lovageshift.Millis, slot *Slot) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := s.targets[slot.Target.ID]
+	restarted := current != nil && current.Born != slot.Target.Born
+	return restarted || slot.state.mayHaveRestarted(now)
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -42,6 +42,8 @@
 	// Pauses between events are uneven, as the target reads other prompts meanwhile. Streams from a target whose mean pause
 	// exceeds this share of the longest one allowed are mostly late.
 	maxGapShare = 0.5
+	// The record of a target that has started again arrives within this time.
+	recordDelayMillis lovageshift.Millis = 5000
 	// If the state updates of an entry report fewer requests at a target than it has reserved there for longer than
 	// this, the messages that ended the excess reservations were probably lost, and these are dropped.
 	unconfirmedMillis lovageshift.Millis = 400
@@ -78,6 +80,9 @@
 	// connection to it failed or was lost, or another entry reported it as cold.
 	maybeColdUntil lovageshift.Millis
 	limit          limitState
+	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
+	// then, and its new record may not have arrived.
+	lostAt lovageshift.Millis
 	// grantTimes are the times at which this entry granted slots at the target, to its own requests and to other
 	// entries'. If the service has a ColdPerSecond, they are also recorded while the target is not known to be cold, as
 	// it may turn out to have been cold then. belowColdLimit drops those older than coldWindow.
@@ -129,10 +134,12 @@
 func (t *targetState) recordResult(now lovageshift.Millis, promptTokens lovageshift.Tokens, result Result) {
 	switch result.Outcome {
 	case Unreachable:
+		t.lostAt = now
 		t.backoffUntil = now + connectBackoffMillis
 		t.assumeCold(t.backoffUntil)
 		t.observe(now, true)
 	case ConnectionLost:
+		t.lostAt = now
 		t.assumeCold(now)
 		t.observe(now, true)
 	case Refused:
@@ -151,6 +158,12 @@
 	}
 }
 
+// mayHaveRestarted reports whether a connection to the target failed or was lost so lately that the record of its next
+// incarnation, which may have another version of its software, may not have arrived.
+func (t *targetState) mayHaveRestarted(now lovageshift.Millis) bool {
+	return t.lostAt > 0 && now-t.lostAt < recordDelayMillis
+}
+
 // movingAverage returns an exponential moving average, 0 before its first value, after one more value.
 func movingAverage(average, value, weight float64) float64 {
 	if average == 0 {
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -121,7 +121,7 @@
 			r.EventIDs = append(r.EventIDs, id)
 		}
 	}
-	if _, version, found := strings.Cut(line, versionMark); found && strings.HasSuffix(version, "\n") {
+	if version, found := strings.CutPrefix(line, versionMark); found && strings.HasSuffix(version, "\n") {
 		r.Versions = append(r.Versions, strings.TrimSpace(version))
 	}
 	if _, target, found := strings.Cut(line, " of "); found {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -161,7 +161,7 @@
 }
 
 // versionMark precedes the replica's version in the data of an event.
-const versionMark = " at version "
+const versionMark = "data: version "
 
 // ServeHTTP runs or refuses one request. A request that is meant for another replica gets status 421; one that finds no
 // free slot gets status 503 and the header that says that it did not run.
@@ -280,7 +280,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: piece %d%s%s\n\n", number, number, versionMark, r.version()))
+		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", number, number, versionMark, r.version()))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
