--- a/stream/client.go
+++ b/stream/client.go
@@ -93,9 +93,9 @@
 	hash := HashOf(attempt)
 	c.ledger.Add(now, hash, origin)
 	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamBegan{StreamBegan: OriginMessage(hash, origin)}}
-	keepers, _ := KeepersOf(hash, c.addresses(now))
-	for _, keeper := range keepers {
-		c.peers.Send(keeper, packet)
+	replicas, _ := ReplicasOf(hash, c.addresses(now))
+	for _, replica := range replicas {
+		c.peers.Send(replica, packet)
 	}
 }
 
@@ -119,13 +119,13 @@
 	if origin, known := c.ledger.Find(now, hash); known {
 		return origin, nil
 	}
-	keepers, others := KeepersOf(hash, c.addresses(now))
-	all := slices.Concat(keepers, others, c.recorders.Leaving(now))
+	replicas, others := ReplicasOf(hash, c.addresses(now))
+	all := slices.Concat(replicas, others, c.recorders.Leaving(now))
 	answers, stop := c.ask(hash, askRounds*len(all)+1)
 	defer stop()
 	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamAsk{StreamAsk: &wire.StreamAsk{Attempt: uint64(hash)}}}
 	answered := map[netip.Addr]bool{}
-	asked := keepers
+	asked := replicas
 	for range askRounds {
 		for _, recorder := range asked {
 			if !answered[recorder] {
@@ -206,7 +206,7 @@
 		if body.RecorderHello.Leaving {
 			c.recorders.Left(now, from)
 		} else {
-			c.recorders.Heard(now, from)
+			c.recorders.Seen(now, from)
 		}
 		c.peers.Send(from, &wire.EntryPacket{Body: &wire.EntryPacket_RecorderReply{RecorderReply: c.recorderReply(now, from)}})
 	default:
--- a/stream/recorder.go
+++ b/stream/recorder.go
@@ -46,8 +46,8 @@
 
 	mutex sync.Mutex
 	seeds []netip.Addr
-	// heardAt holds when each entry last sent something, or was named by another one.
-	heardAt  map[netip.Addr]lovageshift.Millis
+	// seenAt holds when each entry last sent something, or was named by another one.
+	seenAt   map[netip.Addr]lovageshift.Millis
 	chosenAt lovageshift.Millis // when an entry last said that it uses this recorder, 0 for never
 	helloAt  lovageshift.Millis // when the next hellos are due
 	// inUse are the recorders that entries use, by the last answer of one.
@@ -57,7 +57,7 @@
 // NewRecorder returns a recorder that knows no streams and no entries but the seeds.
 func NewRecorder(seeds []netip.Addr, clock lovageshift.Clock, log *eventlog.Log, sender Sender) *Recorder {
 	return &Recorder{
-		clock: clock, log: log, sender: sender, ledger: NewLedger(), seeds: seeds, heardAt: map[netip.Addr]lovageshift.Millis{},
+		clock: clock, log: log, sender: sender, ledger: NewLedger(), seeds: seeds, seenAt: map[netip.Addr]lovageshift.Millis{},
 	}
 }
 
@@ -89,22 +89,22 @@
 		return
 	}
 	if packet.GetStreamOrigins() == nil { // which another recorder sends
-		r.heard(now, from)
+		r.seen(now, from)
 	}
 	r.ledger.handlePacket(now, r.sender, from, packet)
 }
 
-func (r *Recorder) heard(now lovageshift.Millis, entry netip.Addr) {
+func (r *Recorder) seen(now lovageshift.Millis, entry netip.Addr) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.heardAt[entry] = now
+	r.seenAt[entry] = now
 }
 
 // answered takes over an entry's answer to a hello.
 func (r *Recorder) answered(now lovageshift.Millis, entry netip.Addr, reply *wire.RecorderReply) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.heardAt[entry] = now
+	r.seenAt[entry] = now
 	if reply.Chosen {
 		r.chosenAt = now
 	}
@@ -115,8 +115,8 @@
 		r.inUse = append(r.inUse, exchange.IPv4Address(number))
 	}
 	for _, number := range reply.Entries {
-		if other := exchange.IPv4Address(number); r.heardAt[other] == 0 {
-			r.heardAt[other] = now
+		if other := exchange.IPv4Address(number); r.seenAt[other] == 0 {
+			r.seenAt[other] = now
 		}
 	}
 }
@@ -132,7 +132,7 @@
 	if r.isChosen(now) {
 		r.helloAt = now + chosenHelloMillis
 	}
-	maps.DeleteFunc(r.heardAt, func(_ netip.Addr, at lovageshift.Millis) bool { return now-at > entryTimeoutMillis })
+	maps.DeleteFunc(r.seenAt, func(_ netip.Addr, at lovageshift.Millis) bool { return now-at > entryTimeoutMillis })
 	return true
 }
 
@@ -156,7 +156,7 @@
 	if !leaving && !r.isChosen(r.clock.Now()) {
 		return entries
 	}
-	for entry := range r.heardAt {
+	for entry := range r.seenAt {
 		if !slices.Contains(r.seeds, entry) {
 			entries = append(entries, entry)
 		}
@@ -171,17 +171,17 @@
 	r.mutex.Unlock()
 	shares := map[netip.Addr][]*wire.StreamOrigin{}
 	for attempt, origin := range r.ledger.All(r.clock.Now()) {
-		keepers, _ := KeepersOf(attempt, inUse)
-		for _, keeper := range keepers {
-			shares[keeper] = append(shares[keeper], OriginMessage(attempt, origin))
+		replicas, _ := ReplicasOf(attempt, inUse)
+		for _, replica := range replicas {
+			shares[replica] = append(shares[replica], OriginMessage(attempt, origin))
 		}
 	}
 	count := 0
-	for keeper, origins := range shares {
+	for replica, origins := range shares {
 		count += len(origins)
 		for part := range slices.Chunk(origins, originsPerDatagram) {
 			message := &wire.StreamOrigins{Origins: part}
-			r.sender.Send(keeper, &wire.EntryPacket{Body: &wire.EntryPacket_StreamOrigins{StreamOrigins: message}})
+			r.sender.Send(replica, &wire.EntryPacket{Body: &wire.EntryPacket_StreamOrigins{StreamOrigins: message}})
 		}
 	}
 	return count
--- a/stream/recorders.go
+++ b/stream/recorders.go
@@ -16,7 +16,7 @@
 	chosenCount = 8
 	// An origin is recorded at this many of them.
 	copies = 4
-	// A recorder of which nothing was heard for this long is not used.
+	// A recorder that was not seen for this long is not used.
 	recorderTimeoutMillis lovageshift.Millis = 8000
 	// A report that a recorder was running may reach an entry so much later than the recorder's own message.
 	reportDelayMillis lovageshift.Millis = 1000
@@ -28,15 +28,15 @@
 
 // Recorders are the recorders that an entry knows of. It is safe for concurrent use.
 type Recorders struct {
-	mutex   sync.Mutex
-	heardAt map[netip.Addr]lovageshift.Millis
+	mutex  sync.Mutex
+	seenAt map[netip.Addr]lovageshift.Millis
 	// leftAt holds when recorders said that they stop.
 	leftAt map[netip.Addr]lovageshift.Millis
-	// scores holds the results of score for the recorders in heardAt.
+	// scores holds the results of score for the recorders in seenAt.
 	scores map[netip.Addr]uint64
 }
 
-// RecorderAge is a recorder and the time since it was heard of.
+// RecorderAge is a recorder and the time since it was last seen.
 type RecorderAge struct {
 	Address netip.Addr
 	Age     lovageshift.Millis
@@ -45,16 +45,16 @@
 // NewRecorders returns an empty list.
 func NewRecorders() *Recorders {
 	return &Recorders{
-		heardAt: map[netip.Addr]lovageshift.Millis{}, leftAt: map[netip.Addr]lovageshift.Millis{}, scores: map[netip.Addr]uint64{},
+		seenAt: map[netip.Addr]lovageshift.Millis{}, leftAt: map[netip.Addr]lovageshift.Millis{}, scores: map[netip.Addr]uint64{},
 	}
 }
 
-// Heard records that the recorder said that it is running.
-func (r *Recorders) Heard(now lovageshift.Millis, recorder netip.Addr) {
+// Seen records that the recorder said that it is running.
+func (r *Recorders) Seen(now lovageshift.Millis, recorder netip.Addr) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.leftAt, recorder)
-	r.heardAt[recorder] = now
+	r.seenAt[recorder] = now
 }
 
 // Reported records that another entry knows that the recorder was running at the time.
@@ -64,8 +64,8 @@
 	if leftAt, left := r.leftAt[recorder]; left && at <= leftAt+reportDelayMillis {
 		return
 	}
-	if last, known := r.heardAt[recorder]; !known || at > last {
-		r.heardAt[recorder] = at
+	if last, known := r.seenAt[recorder]; !known || at > last {
+		r.seenAt[recorder] = at
 	}
 }
 
@@ -73,7 +73,7 @@
 func (r *Recorders) Left(now lovageshift.Millis, recorder netip.Addr) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.heardAt, recorder)
+	delete(r.seenAt, recorder)
 	r.leftAt[recorder] = now
 }
 
@@ -99,9 +99,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var live []RecorderAge
-	for address, at := range r.heardAt {
+	for address, at := range r.seenAt {
 		if now-at > recorderTimeoutMillis {
-			delete(r.heardAt, address)
+			delete(r.seenAt, address)
 			delete(r.scores, address)
 			continue
 		}
@@ -121,9 +121,9 @@
 	return score
 }
 
-// KeepersOf returns the addresses, of those given, at which the origin of the attempt's stream is recorded, and as many that
+// ReplicasOf returns the addresses, of those given, at which the origin of the attempt's stream is recorded, and as many that
 // may have it if some of the first were not in the list then.
-func KeepersOf(attempt AttemptHash, addresses []netip.Addr) (keepers, others []netip.Addr) {
+func ReplicasOf(attempt AttemptHash, addresses []netip.Addr) (replicas, others []netip.Addr) {
 	key := strconv.FormatUint(uint64(attempt), 16)
 	sorted := slices.SortedFunc(slices.Values(addresses), func(a, b netip.Addr) int {
 		return cmp.Compare(membership.Score(key, b.String()), membership.Score(key, a.String()))
