--- a/soak/entry.go
+++ b/soak/entry.go
@@ -40,6 +40,7 @@
 	stopped         bool // the run sent SIGTERM to the process, which must exit without an error
 	unexpectedExits []string
 	settingsChanges int  // number of changes of the settings file
+	restarted       bool // the process has exited at least once
 	inRotation      bool // the load balancer sends new connections to the entry
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -168,13 +168,14 @@
 func (e *entry) markRestarted() error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.vm.Restarted = true
+	e.restarted = true
 	return e.writeSettings()
 }
 
 // writeSettings writes the settings file. The caller holds the mutex.
 func (e *entry) writeSettings() error {
 	changed := e.vm
+	changed.Restarted = e.restarted
 	first := e.settingsChanges % len(changed.Seeds)
 	changed.Seeds = slices.Concat(changed.Seeds[first:], changed.Seeds[:first])
 	return changed.WriteSettings(e.settingsPath)
