Say in a refusal what kept the request from each target that can run it

Of the streams that callers took up again most were refused as "shed", and the line tells neither whether the targets of the stream's version were full nor whether they were passed over for another reason.

A loop over the group's targets at each refusal; nothing at a grant.

--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"strings"
 
 	"lovageshift"
@@ -16,6 +17,8 @@
 	zone    lovageshift.ZoneID
 	release lovageshift.SoftwareVersion
 	running int
+	// obstacles is what kept the request from the targets that can run it, if it was last refused a slot.
+	obstacles placement.Obstacles
 	// throttled is how long the request had to wait for its account's tokens.
 	throttled lovageshift.Millis
 	// waited is the time from the request's arrival until it last got a slot or was refused one.
@@ -98,6 +101,9 @@
 	if r.summary.firstEvent > 0 {
 		g.metrics.Observe(metrics.FirstEventSeconds, logEvent, r.summary.firstEvent)
 	}
+	if r.summary.obstacles != (placement.Obstacles{}) {
+		detail += " (" + describeObstacles(r.summary.obstacles) + ")"
+	}
 	g.log.Info(logEvent, "request", r.headers.ID, "status", r.summary.status, "detail", detail,
 		"route", route, "rank", rank, "account", account, "cost", r.cost,
 		"prompt", r.headers.PromptTokens, "output", r.headers.OutputTokens, "expectedOutput", r.loggedOutput(),
@@ -132,3 +138,25 @@
 	}
 	return r.job.ExpectedOutput
 }
+
+// describeObstacles returns the counts that are not 0, such as "targets: 2 full, 1 cold".
+func describeObstacles(o placement.Obstacles) string {
+	var parts []string
+	for _, count := range []struct {
+		targets int
+		reason  string
+	}{
+		{o.Tried, "tried before"},
+		{o.Backoff, "in backoff"},
+		{o.MayHaveRestarted, "may have restarted"},
+		{o.Cold, "cold"},
+		{o.Limited, "limited"},
+		{o.Full, "full"},
+		{o.Free, "free, with others first"},
+	} {
+		if count.targets > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", count.targets, count.reason))
+		}
+	}
+	return "targets: " + strings.Join(parts, ", ")
+}
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -61,7 +61,7 @@
 		return
 	}
 	w.done = true
-	w.onDecision(nil, s.newRefusal(now, w.group, w.job, expected, ahead))
+	w.onDecision(nil, s.newRefusal(now, w, expected, ahead))
 }
 
 func (s *Scheduler) grant(now lovageshift.Millis, q *queue, w *Waiter, chosen *targetState) {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -1,18 +1,12 @@
 package placement
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"lovageshift"
 )
 
 const (
-	// Refusal.RetryAfter is this many times Refusal.ExpectedWait, within retryMin and retryMax.
-	retryFactor = 2
-	// Bounds of Refusal.RetryAfter before newRefusal spreads it at random.
-	retryMin lovageshift.Millis = 600
-	retryMax lovageshift.Millis = 3000
 	// The cost of a target whose share of failures exceeds this limit is raised by 10, so that normally it is chosen
 	// only if the shares of all other eligible targets exceed it too.
 	failureShareLimit = 0.3
@@ -64,7 +58,7 @@
 	switch {
 	case !w.job.fits(t), w.job.HasVersion && t.mayHaveRestarted(now):
 		return false
-	case t.mayBeCold(now) && !(w.role != Other && s.quorum && t.belowColdLimit(now, s.coldLimit(t))):
+	case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
 		return false
 	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
 		return false
@@ -75,6 +69,11 @@
 	}
 }
 
+// mayAssignCold reports whether this entry may assign a target that may be cold to the waiter.
+func (s *Scheduler) mayAssignCold(now lovageshift.Millis, t *targetState, w *Waiter) bool {
+	return w.role != Other && s.quorum && t.belowColdLimit(now, s.coldLimit(t))
+}
+
 // bestPrediction returns the prediction that a job's target has to fulfil if possible: the strictest one that some targets
 // of the group fulfil. Targets that are busy count too, but not those in a backoff.
 func (s *Scheduler) bestPrediction(now lovageshift.Millis, group GroupID, job *Job) prediction {
@@ -121,17 +120,3 @@
 func (s *Scheduler) hasTarget(group GroupID, job *Job) bool {
 	return slices.ContainsFunc(s.groups[group], job.fits)
 }
-
-// newRefusal returns the refusal of a job that would have to wait for the expected time behind ahead others. RetryAfter
-// is spread at random by up to a quarter either way, so that requests refused together are not repeated together.
-func (s *Scheduler) newRefusal(now lovageshift.Millis, group GroupID, job *Job, expected lovageshift.Millis, ahead int) *Refusal {
-	reason := lovageshift.ReasonShed
-	if !s.hasTarget(group, job) {
-		reason = lovageshift.ReasonNoTarget
-	}
-	after := min(max(retryFactor*expected, retryMin), retryMax)
-	spread := lovageshift.Millis(rand.Int64N(int64(after)/2 + 1))
-	return &Refusal{
-		Reason: reason, RetryAfter: after - after/4 + spread, Waited: now - job.Arrived, ExpectedWait: expected, Ahead: ahead,
-	}
-}
--- a/placement/job.go
+++ b/placement/job.go
@@ -69,20 +69,6 @@
 	granter      netip.Addr // the other entry that granted the slot, invalid if this entry assigned it itself
 }
 
-// Refusal says why a job got no slot.
-type Refusal struct {
-	Reason lovageshift.Reason
-	// RetryAfter is how long the caller should wait before it repeats the request, spread at random (see newRefusal); 0
-	// if not known.
-	RetryAfter lovageshift.Millis
-	// Waited is the time from the request's arrival to the refusal.
-	Waited lovageshift.Millis
-	// ExpectedWait is how much longer the request was expected to wait in the queue at its refusal, and Ahead how many
-	// waiting requests were before it there.
-	ExpectedWait lovageshift.Millis
-	Ahead        int
-}
-
 // Decision is the answer to a submitted job: either Slot or Refusal is set.
 type Decision struct {
 	Slot    *Slot
--- /dev/null
+++ b/placement/refusal.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"lovageshift"
+)
+
+const (
+	// Refusal.RetryAfter is this many times Refusal.ExpectedWait, within retryMin and retryMax.
+	retryFactor = 2
+	// Bounds of Refusal.RetryAfter before newRefusal spreads it at random.
+	retryMin lovageshift.Millis = 600
+	retryMax lovageshift.Millis = 3000
+)
+
+// Refusal says why a job got no slot.
+type Refusal struct {
+	Reason lovageshift.Reason
+	// RetryAfter is how long the caller should wait before it repeats the request, spread at random (see newRefusal); 0
+	// if not known.
+	RetryAfter lovageshift.Millis
+	// Waited is the time from the request's arrival to the refusal.
+	Waited lovageshift.Millis
+	// ExpectedWait is how much longer the request was expected to wait in the queue at its refusal, and Ahead how many
+	// waiting requests were before it there.
+	ExpectedWait lovageshift.Millis
+	Ahead        int
+	// Obstacles says what kept the job from the targets that can run it, as far as the refusing entry knew them.
+	Obstacles Obstacles
+}
+
+// Obstacles counts the targets of a group that can run a refused job, by what kept the job from them. A target counts under
+// the first that applies, in the order of the fields.
+type Obstacles struct {
+	// Tried had been assigned to the job before. Backoff have lately refused a request or a connection. MayHaveRestarted may
+	// have another software version by now than the job needs.
+	Tried, Backoff, MayHaveRestarted int
+	// Cold and Limited are at the rate that they sustain. Full have no free slot. Free have one, but other requests go first.
+	Cold, Limited, Full, Free int
+}
+
+// newRefusal returns the refusal of a job that would have to wait for the expected time behind ahead others. RetryAfter
+// is spread at random by up to a quarter either way, so that requests refused together are not repeated together.
+func (s *Scheduler) newRefusal(now lovageshift.Millis, w *Waiter, expected lovageshift.Millis, ahead int) *Refusal {
+	reason := lovageshift.ReasonShed
+	if !s.hasTarget(w.group, w.job) {
+		reason = lovageshift.ReasonNoTarget
+	}
+	after := min(max(retryFactor*expected, retryMin), retryMax)
+	spread := lovageshift.Millis(rand.Int64N(int64(after)/2 + 1))
+	return &Refusal{
+		Reason: reason, RetryAfter: after - after/4 + spread, Waited: now - w.job.Arrived, ExpectedWait: expected, Ahead: ahead,
+		Obstacles: s.obstacles(now, w),
+	}
+}
+
+// obstacles returns what keeps the waiter's job from the targets of its group.
+func (s *Scheduler) obstacles(now lovageshift.Millis, w *Waiter) Obstacles {
+	var o Obstacles
+	for _, t := range s.groups[w.group] {
+		if !w.job.fits(t) {
+			continue
+		}
+		switch {
+		case slices.Contains(w.job.Tried, HashOf(t.ID)):
+			o.Tried++
+		case now < t.backoffUntil:
+			o.Backoff++
+		case w.job.HasVersion && t.mayHaveRestarted(now):
+			o.MayHaveRestarted++
+		case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
+			o.Cold++
+		case t.limit.inForce(now) && !s.withinLimit(now, t, w):
+			o.Limited++
+		case t.running() >= t.capacity():
+			o.Full++
+		default:
+			o.Free++
+		}
+	}
+	return o
+}
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -193,6 +193,7 @@
 		return placement.Decision{Refusal: &placement.Refusal{
 			Reason: reason, RetryAfter: lovageshift.Millis(reply.RetryAfterMillis), Waited: now - job.Arrived,
 			ExpectedWait: lovageshift.Millis(reply.ExpectedMillis), Ahead: int(reply.Ahead),
+			Obstacles: obstaclesOf(reply.Obstacles),
 		}}, nil
 	}
 	grant := placement.Reply{
@@ -310,6 +311,22 @@
 		message.RetryAfterMillis = int64(reply.Refusal.RetryAfter)
 		message.ExpectedMillis, message.Ahead = int64(reply.Refusal.ExpectedWait), int32(reply.Refusal.Ahead)
 		message.NoTarget = reply.Refusal.Reason == lovageshift.ReasonNoTarget
+		message.Obstacles = obstaclesMessage(reply.Refusal.Obstacles)
 	}
 	return message
 }
+
+func obstaclesMessage(o placement.Obstacles) *wire.Obstacles {
+	return &wire.Obstacles{
+		Tried: uint32(o.Tried), Backoff: uint32(o.Backoff), MayHaveRestarted: uint32(o.MayHaveRestarted),
+		Cold: uint32(o.Cold), Limited: uint32(o.Limited), Full: uint32(o.Full), Free: uint32(o.Free),
+	}
+}
+
+// obstaclesOf returns the obstacles of a message, none if an entry of an earlier build sent no message.
+func obstaclesOf(m *wire.Obstacles) placement.Obstacles {
+	return placement.Obstacles{
+		Tried: int(m.GetTried()), Backoff: int(m.GetBackoff()), MayHaveRestarted: int(m.GetMayHaveRestarted()),
+		Cold: int(m.GetCold()), Limited: int(m.GetLimited()), Full: int(m.GetFull()), Free: int(m.GetFree()),
+	}
+}
