Share the installation in virtual time between the tests of reservations

The test of target limits had its own entries, datagrams, cuts and restarts in virtual time. They stand in a file of their own now, so that a test of streams can use them; what the test of limits checks is the same, with the same bounds.

--- a/reservation/limits_test.go
+++ b/reservation/limits_test.go
@@ -3,22 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net/netip"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"lovageshift"
-	"lovageshift/catalog"
 	"lovageshift/placement"
-	"lovageshift/reservation"
-	"lovageshift/wire"
 )
 
 // From the contact time after it named a limit, a target may get in limitWindow limitOvershoot times what the limit allows and
@@ -41,181 +34,74 @@
 }
 
 const (
-	namedMillis       lovageshift.Millis = 1000
-	limitRunMillis    lovageshift.Millis = 11_000
-	limitUpdateMillis lovageshift.Millis = 100
-	limitReceivers                       = 17 // of an update
-	liveMillis        lovageshift.Millis = 700
+	namedMillis    lovageshift.Millis = 1000
+	limitRunMillis lovageshift.Millis = 11_000
 )
 
-// limitEntry is an entry whose incarnations follow one another. It is the Peers of each of them.
-type limitEntry struct {
-	sim    *limitSimulation
-	number int
-	self   netip.Addr
-	old    bool
-
-	// Guarded by sim.mutex.
-	scheduler *placement.Scheduler
-	client    *reservation.Client
-	cutFrom   lovageshift.Millis
-	cutTo     lovageshift.Millis
-	faultAt   lovageshift.Millis // the end of its last fault
-	next      int                // the next receiver of an update
-	notified  map[int]lovageshift.Millis
-}
-
 // limitArrival is a request at a target through an entry that the rule covers.
 type limitArrival struct {
 	target int
 	at     lovageshift.Millis
 }
 
+// notice identifies a target's responses to one incarnation of an entry.
+type notice struct{ entry, incarnation, target int }
+
 type limitSimulation struct {
 	limitScenario
-	clock    lovageshift.Clock
-	view     *catalog.View
-	mutex    sync.Mutex
-	random   *rand.Rand
-	all      []*limitEntry
-	arrivals []limitArrival
-	group    errgroup.Group
-}
-
-func (e *limitEntry) Self() netip.Addr                            { return e.self }
-func (e *limitEntry) Processor(netip.Addr) lovageshift.Millicores { return 0 }
-
-// Live returns the entries that are not known to be cut off.
-func (e *limitEntry) Live() (others []netip.Addr) {
-	e.sim.mutex.Lock()
-	defer e.sim.mutex.Unlock()
-	now := e.sim.clock.Now()
-	for _, other := range e.sim.all {
-		known := e.isCutFor(now, liveMillis) || other.isCutFor(now, liveMillis)
-		if other != e && !known {
-			others = append(others, other.self)
-		}
-	}
-	return others
-}
-
-func (e *limitEntry) isCutFor(now, atLeast lovageshift.Millis) bool {
-	return now < e.cutTo && now-e.cutFrom >= atLeast
-}
-
-// Send delivers a packet after a millisecond, unless it is lost.
-func (e *limitEntry) Send(to netip.Addr, packet *wire.EntryPacket) {
-	s := e.sim
-	s.mutex.Lock()
-	now := s.clock.Now()
-	index := slices.IndexFunc(s.all, func(other *limitEntry) bool { return other.self == to })
-	receiver := s.all[index]
-	lost := e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.02
-	s.mutex.Unlock()
-	if lost {
-		return
-	}
-	time.AfterFunc(time.Millisecond, func() {
-		s.mutex.Lock()
-		client := receiver.client
-		s.mutex.Unlock()
-		client.HandlePacket(s.clock.Now(), e.self, packet)
-	})
-}
+	*simulation
 
-// restart starts a new incarnation, which knows nothing of the one before. The caller must hold sim.mutex.
-func (e *limitEntry) restart(now lovageshift.Millis) {
-	e.scheduler = placement.NewScheduler(placement.ColdBounds{})
-	e.scheduler.SetEntries(e.sim.entries, e.sim.entries, 0)
-	e.scheduler.SetView(now, e.sim.view)
-	e.client = reservation.NewClient(e.scheduler, e.sim.clock, nil)
-	e.client.SetPeers(e)
-	e.faultAt, e.notified = now, map[int]lovageshift.Millis{}
+	// Guarded by mutex.
+	notified map[notice]lovageshift.Millis // when a response first named the limit
+	arrivals []limitArrival
 }
 
 func newLimitSimulation(s limitScenario, seed uint64) *limitSimulation {
-	sim := &limitSimulation{limitScenario: s, clock: lovageshift.NewClock(), random: rand.New(rand.NewPCG(seed, 2))}
-	byID := map[lovageshift.TargetID]*catalog.Target{}
-	for i := range s.targets {
-		id := lovageshift.TargetID(fmt.Sprintf("t-%d", i))
-		byID[id] = &catalog.Target{ID: id, Service: pool, Slots: 8, Address: "10.0.0.1:1"}
+	sim := &limitSimulation{
+		limitScenario: s, simulation: newSimulation(s.entries, s.oldBuilds, simTargets(s.targets, 8), limitRunMillis, seed),
+		notified: map[notice]lovageshift.Millis{},
 	}
-	sim.view = catalog.NewView(catalog.New(1, catalog.Limits{}, []*catalog.Service{{ID: pool, Engine: true}}, nil, nil), byID, nil)
-	for i := range s.entries {
-		e := &limitEntry{sim: sim, number: i, self: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), old: i < s.oldBuilds, next: i}
-		e.restart(0)
+	for _, e := range sim.all {
 		e.faultAt = -s.contact
-		sim.all = append(sim.all, e)
 	}
 	return sim
 }
 
 // run plays the scenario and returns once all requests have ended.
 func (s *limitSimulation) run() {
-	started := s.clock.Now()
 	for _, e := range s.all {
-		s.group.Go(func() error { s.tick(e, started); return nil })
-		s.group.Go(func() error { s.generate(e, started); return nil })
+		s.group.Go(func() error {
+			s.runTicks(e, func(now lovageshift.Millis, from *placement.Scheduler) { s.reportLimits(now, e, from) })
+			return nil
+		})
+		s.group.Go(func() error { s.generate(e); return nil })
 	}
-	s.group.Go(func() error { s.injectFaults(started); return nil })
+	s.group.Go(func() error { s.injectFaults(); return nil })
 	_ = s.group.Wait()
 }
 
-func (s *limitSimulation) running(started lovageshift.Millis) bool {
-	return s.clock.Now()-started < limitRunMillis
-}
-
-// tick lets an entry's scheduler judge its queue and sends its updates.
-func (s *limitSimulation) tick(e *limitEntry, started lovageshift.Millis) {
-	for step := 0; s.running(started); step++ {
-		s.mutex.Lock()
-		scheduler := e.scheduler
-		s.mutex.Unlock()
-		now := s.clock.Now()
-		scheduler.Tick(now)
-		if step%5 == 0 {
-			scheduler.SetEntries(s.entries, len(e.Live())+1, 0)
-			s.sendUpdate(now, e, scheduler.Limits(now))
+// reportLimits sends the limits to the entries whose turn it is.
+func (s *limitSimulation) reportLimits(now lovageshift.Millis, e *simEntry, from *placement.Scheduler) {
+	limits := from.Limits(now)
+	s.sendUpdate(now, e, func(receiver *simEntry, to *placement.Scheduler) {
+		if !receiver.old && len(limits) > 0 {
+			to.MergeLimits(now, limits)
 		}
-		time.Sleep(limitUpdateMillis.Duration() / 5)
-	}
-}
-
-// sendUpdate sends the limits to the entries whose turn it is.
-func (s *limitSimulation) sendUpdate(now lovageshift.Millis, e *limitEntry, limits []placement.LimitReport) {
-	for range min(limitReceivers, s.entries-1) {
-		s.mutex.Lock()
-		e.next = (e.next + 1) % s.entries
-		if e.next == e.number {
-			e.next = (e.next + 1) % s.entries
-		}
-		receiver := s.all[e.next]
-		scheduler := receiver.scheduler
-		lost := receiver.old || e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.03
-		s.mutex.Unlock()
-		if !lost && len(limits) > 0 {
-			scheduler.MergeLimits(now, limits)
-		}
-	}
+	})
 }
 
 // generate sends requests through an entry.
-func (s *limitSimulation) generate(e *limitEntry, started lovageshift.Millis) {
-	for s.running(started) {
-		s.mutex.Lock()
-		pause := s.random.ExpFloat64() / s.load
-		service := lovageshift.Millis(100 + s.random.IntN(400))
-		s.mutex.Unlock()
-		time.Sleep(time.Duration(pause * float64(time.Second)))
-		s.group.Go(func() error { s.serve(e, started, service); return nil })
+func (s *limitSimulation) generate(e *simEntry) {
+	for s.running() {
+		s.pause(time.Duration(float64(time.Second) / s.load))
+		service := lovageshift.Millis(100 + s.intN(400))
+		s.group.Go(func() error { s.serve(e, service); return nil })
 	}
 }
 
 // serve sends one request: it reserves a slot, reaches the target, gets a response header and later the end.
-func (s *limitSimulation) serve(e *limitEntry, started, service lovageshift.Millis) {
-	s.mutex.Lock()
-	client, scheduler, notified := e.client, e.scheduler, e.notified
-	s.mutex.Unlock()
+func (s *limitSimulation) serve(e *simEntry, service lovageshift.Millis) {
+	client, scheduler, incarnation := e.current()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	now := s.clock.Now()
@@ -226,20 +112,21 @@
 	}
 	var target int
 	_, _ = fmt.Sscanf(string(slot.Target.ID), "t-%d", &target)
+	key := notice{e.number, incarnation, target}
 	s.mutex.Lock()
 	now = s.clock.Now()
-	notifiedAt, knows := notified[target]
+	notifiedAt, knows := s.notified[key]
 	if knows && now-notifiedAt >= notifiedMillis && !e.old && now-e.faultAt >= s.contact && now >= e.cutTo {
-		s.arrivals = append(s.arrivals, limitArrival{target, now - started})
+		s.arrivals = append(s.arrivals, limitArrival{target, now - s.started})
 	}
 	s.mutex.Unlock()
 	time.Sleep(20 * time.Millisecond)
 	now = s.clock.Now()
-	named := target < s.limited && now-started >= namedMillis
+	named := target < s.limited && now-s.started >= namedMillis
 	if named {
 		s.mutex.Lock()
-		if _, found := notified[target]; !found {
-			notified[target] = now
+		if _, found := s.notified[key]; !found {
+			s.notified[key] = now
 		}
 		s.mutex.Unlock()
 	}
@@ -255,20 +142,18 @@
 }
 
 // injectFaults restarts entries and cuts them off from the others.
-func (s *limitSimulation) injectFaults(started lovageshift.Millis) {
-	for s.faultEvery > 0 && s.running(started) {
+func (s *limitSimulation) injectFaults() {
+	for s.faultEvery > 0 && s.running() {
 		s.mutex.Lock()
-		pause := s.random.ExpFloat64() * float64(s.faultEvery)
 		e := s.all[s.random.IntN(len(s.all))]
 		now := s.clock.Now()
 		if s.random.IntN(2) == 0 {
 			e.restart(now)
 		} else {
-			e.cutFrom, e.cutTo = now, now+2500
-			e.faultAt = e.cutTo
+			e.cut(now, 2500)
 		}
 		s.mutex.Unlock()
-		time.Sleep(time.Duration(pause * float64(time.Millisecond)))
+		s.pause(s.faultEvery.Duration())
 	}
 }
 
