Grant slots to streams that callers take up at least as often as to new requests

Cause: such a request was queued as if its caller had seen nothing yet. It could wait for half of the objective of a first event (150 ms of 12 s), was refused by an estimate that counts the grants of all versions, came after the more urgent requests of any version although only slots of one serve it, and last of its rank once it had been refused. Kind of fault: a rule made for new work applied to work that is half done.

Change: a job knows that it goes on with a stream, where the record of the stream's origin proves it. It waits for 1.5 s, within half of its time, without being refused by the estimate. A coordinator owes these jobs grants: each one that arrives adds the share of new requests that got a slot lately, and promotes such a job when a whole grant is owed, for up to half of all grants. So urgent requests go before it but for a share that follows from what is asked. An entry that itself goes on with a stream waits likewise, counted from the last event. Coordinators of earlier builds ignore the new field of the message and queue these jobs in the order of arrival, for as long as the message says.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -22,15 +22,9 @@
 	responseMargin lovageshift.Millis = 20
 	// Writes to a caller that reads its response too slowly fail from this long after request.deadline on.
 	slowReaderMargin lovageshift.Millis = 400
-	// A request is refused if it cannot get a slot within this share of its latency objective, counted from its arrival.
-	// Requests that the caller repeats (see newJob) and retries (see startRetry) have other limits.
-	maxWaitShare = 0.5
 	// A request is refused if it would have to wait for its account's tokens for more than this share of its route's
 	// latency objective. If the route sets no objective, the request is refused if it would have to wait at all.
 	maxThrottleShare = 0.25
-	// Maximum wait for a slot, counted from arrival, of a request that its caller repeats after a refusal. Such a request
-	// has missed its latency objective already, and no caller gives up waiting for the first event before this time.
-	repeatMaxWait lovageshift.Millis = 1200
 	// Number of route ranks that are distinguished within one account rank. Route ranks above the highest of these count
 	// as the highest.
 	routeRanks lovageshift.Rank = 16
@@ -83,6 +77,8 @@
 	// release is the software version at which the request's stream began, hasRelease whether there is one.
 	release    lovageshift.SoftwareVersion
 	hasRelease bool
+	// originFound is set if the caller takes up a stream of which it is on record where it began.
+	originFound bool
 	// releaseUnknown is set if the stream began at a target whose version is not known.
 	releaseUnknown bool
 	// runs counts the attempts in which a target may have run the request.
@@ -350,35 +346,30 @@
 }
 
 // newJob returns the job for the scheduler. If the caller repeats a request whose refusal is on record, newJob deletes
-// that record and sets RefusedBefore. Such a request may wait for a slot for repeatMaxWait, or for half of the time
-// from its arrival to the deadline if that is shorter.
+// that record and sets RefusedBefore, unless the request goes on with a stream.
 func (r *request) newJob() *placement.Job {
 	objective := r.route.Objective
 	if objective == 0 {
 		objective = defaultObjective
 	}
 	job := &placement.Job{
-		Service:       r.service,
-		Zone:          r.gateway.zone,
-		Rank:          r.rank(),
-		Arrived:       r.arrived,
-		Objective:     objective,
-		QueueDeadline: r.arrived + lovageshift.Millis(float64(objective)*maxWaitShare),
-		PromptTokens:  r.headers.PromptTokens,
-		OutputTokens:  r.headers.OutputTokens,
+		Service:      r.service,
+		Zone:         r.gateway.zone,
+		Rank:         r.rank(),
+		Arrived:      r.arrived,
+		Objective:    objective,
+		PromptTokens: r.headers.PromptTokens,
+		OutputTokens: r.headers.OutputTokens,
 
 		ExpectedOutput: r.expectedOutput(),
 		MaxGap:         r.route.MaxGap,
 		Deadline:       r.deadline,
+		Resumes:        r.originFound,
 		HasVersion:     r.hasRelease,
 		Version:        r.release,
 	}
-	job.RefusedBefore = r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
-	if job.RefusedBefore {
-		job.QueueDeadline = r.arrived + repeatMaxWait
-		if r.deadline > 0 {
-			job.QueueDeadline = min(job.QueueDeadline, r.arrived+(r.deadline-r.arrived)/2)
-		}
-	}
+	wasRefused := r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
+	job.RefusedBefore = wasRefused && !job.Resumes
+	job.LimitWait()
 	return job
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -64,8 +64,7 @@
 // startRetry reports whether the request may be sent to another target after the result. That requires that the target
 // did not run the request, or that the request is repeatable and has attempts left. Unless nothing was sent, startRetry
 // also spends one retry from the retry budget, and returns false if the budget is used up. If it returns true, it has
-// extended the queue deadline so that the request may wait for a slot for at least a quarter of its latency objective
-// from now on.
+// extended the queue deadline.
 func (r *request) startRetry(ctx context.Context, result attemptResult) bool {
 	g := r.gateway
 	if ctx.Err() != nil || result.final || r.releaseUnknown {
@@ -81,7 +80,11 @@
 	g.metrics.AddRetry(result.refusal.Reason)
 	g.log.Info("retry", "request", r.headers.ID, "reason", result.refusal.Reason, "outcome", result.refusal.Outcome.String(),
 		"tried", len(r.job.Tried), "detail", oneLine(result.refusal.Detail))
-	r.job.QueueDeadline = max(r.job.QueueDeadline, g.clock.Now()+r.job.Objective/4)
+	if r.summary.events > 0 {
+		r.job.GoOn(g.clock.Now(), r.summary.lastEventAt)
+	} else {
+		r.job.Retry(g.clock.Now())
+	}
 	return true
 }
 
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -34,7 +34,7 @@
 		return lovageshift.NotRun(lovageshift.ReasonStreamUnknown, "the stream began at another service")
 	}
 	if err == nil {
-		r.release, r.hasRelease = origin.Version, true
+		r.release, r.hasRelease, r.originFound = origin.Version, true, true
 		return nil
 	}
 	only, known := g.versions.Only(g.clock.Now(), r.service, r.route.Timeout)
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -25,12 +25,13 @@
 
 // assign gives slots to a group's waiting requests in the order of the queue, after promote has moved forward those
 // that the credit of their rank covers. Of those for which judge returns true, it refuses the ones that are expected to
-// get no slot by their queue deadline, and those of a version that no target has. A request is judged when it is submitted and at each Tick. To judge all of them
-// whenever a slot comes free would take most of a small VM's processor in an overload.
+// get no slot by their queue deadline, and those of a version that no target has. A request is judged when it is submitted
+// and at each Tick. To judge all of them whenever a slot comes free would take most of a small VM's processor in an overload.
 func (s *Scheduler) assign(now lovageshift.Millis, group GroupID, q *queue, judge func(*Waiter) bool) {
 	if len(q.waiters) == 0 {
 		return
 	}
+	q.promoteResuming(now)
 	q.promote()
 	free := s.freeTargets(now, group)
 	ahead := 0
@@ -42,7 +43,7 @@
 		}
 		if judge(w) {
 			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
-			if now+expected >= w.job.QueueDeadline || w.job.HasVersion && !s.hasTarget(group, w.job) {
+			if w.waitIsOver(now, expected) || w.job.HasVersion && !s.hasTarget(group, w.job) {
 				s.giveUp(now, q, w, free, expected, ahead)
 				return true
 			}
@@ -53,6 +54,15 @@
 	})
 }
 
+// waitIsOver reports whether a waiter that is expected to wait for so long leaves the queue. One that goes on with a stream
+// waits until its queue deadline: what was read and written for it so far is lost otherwise.
+func (w *Waiter) waitIsOver(now, expected lovageshift.Millis) bool {
+	if w.job.Resumes {
+		expected = 0
+	}
+	return now+expected >= w.job.QueueDeadline
+}
+
 // giveUp ends the wait of a request that is expected to get no slot in time. It gets a free target at which it is expected
 // to be late, but complete by its deadline, or else a refusal.
 func (s *Scheduler) giveUp(now lovageshift.Millis, q *queue, w *Waiter, free []*targetState, expected lovageshift.Millis, ahead int) {
@@ -61,6 +71,7 @@
 		return
 	}
 	w.done = true
+	q.resuming.recordRefusal(w)
 	w.onDecision(nil, s.newRefusal(now, w, expected, ahead))
 }
 
--- a/placement/job.go
+++ b/placement/job.go
@@ -39,6 +39,9 @@
 	// objective already, so it comes after the others of its rank. Its entry sets QueueDeadline by another rule, as a
 	// second refusal would lose it: the caller is not expected to repeat it again.
 	RefusedBefore bool
+	// Resumes is set if the request goes on with a stream of which the caller is known to have the first event. Such requests
+	// get slots at least as often as new ones (see resumingShare).
+	Resumes bool
 	// HasVersion is set if only targets with the Version of their software can run the request.
 	HasVersion bool
 	Version    lovageshift.SoftwareVersion
@@ -84,7 +87,7 @@
 	// done reports whether the waiter has left the queue, with or without a slot.
 	done bool
 	// promoted reports whether the waiter goes before all that are not promoted, whatever their rank. queue.promote
-	// sets it and deducts the request's work from the credit of its rank (see queue.credit).
+	// sets it and deducts the request's work from the credit of its rank (see queue.credit), or queue.promoteResuming does.
 	promoted bool
 	// role is what this entry was to the group at the submission. A coordinator or backup knows the requests at the group's
 	// targets, and so may assign those that are cold (see the package comment) or have a limit.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -1,16 +1,13 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"lovageshift"
 )
 
 const (
-	// Granted slots and submitted requests are counted over a sliding window of this length, in steps of rateStep.
-	rateWindow lovageshift.Millis = 1000
-	rateStep   lovageshift.Millis = 100
-	rateSteps                     = int64(rateWindow / rateStep)
 	// When a request gets a slot without being promoted, every less urgent rank (one of a higher number) is credited
 	// with this share of the request's work (see workOf). The cost to urgent requests is small, and less urgent ones
 	// are not starved in a long overload.
@@ -30,10 +27,12 @@
 )
 
 // queue holds a group's waiting requests in the order in which they get slots: promoted ones first (see promote), then
-// by rank, the smallest number first. Within a rank, those that were not refused before are first, as they can still
-// meet their objective; then the order of submission decides.
+// by rank, the smallest number first. Within a rank, those that were not refused before are first, as they can still meet
+// their objective; then the order of submission decides.
 type queue struct {
 	waiters []*Waiter
+	// resuming is the share of the requests that go on with streams.
+	resuming resumingShare
 	// grants counts the requests that got a slot, grantedWork sums up their work as estimated by workOf.
 	grants      rateMeter
 	grantedWork rateMeter
@@ -54,6 +53,7 @@
 		q.arrivals[rank] = &rateMeter{}
 	}
 	q.arrivals[rank].add(now, 1)
+	q.resuming.recordArrival(now, w)
 	q.insert(w)
 }
 
@@ -77,6 +77,11 @@
 	work := workOf(w.job)
 	q.grants.add(now, 1)
 	q.grantedWork.add(now, int(work))
+	if !w.job.Resumes {
+		q.resuming.grants.add(now, 1)
+	} else if !w.promoted {
+		q.resuming.settle(w)
+	}
 	if w.promoted {
 		return
 	}
@@ -104,12 +109,18 @@
 			return
 		}
 		q.credit[chosen.job.Rank] -= workOf(chosen.job)
-		q.remove(chosen)
-		chosen.promoted = true
-		q.insert(chosen)
+		q.putFirst(chosen)
 	}
 }
 
+// putFirst makes a waiter one of the promoted ones.
+func (q *queue) putFirst(w *Waiter) {
+	q.resuming.settle(w)
+	q.remove(w)
+	w.promoted = true
+	q.insert(w)
+}
+
 func compareWaiters(a, b *Waiter) int {
 	switch {
 	case a.promoted != b.promoted:
@@ -118,18 +129,14 @@
 		}
 		return 1
 	case a.job.Rank != b.job.Rank:
-		return int(a.job.Rank - b.job.Rank)
+		return cmp.Compare(a.job.Rank, b.job.Rank)
 	case a.job.RefusedBefore != b.job.RefusedBefore:
 		if b.job.RefusedBefore {
 			return -1
 		}
 		return 1
-	case a.number < b.number:
-		return -1
-	case a.number > b.number:
-		return 1
 	default:
-		return 0
+		return cmp.Compare(a.number, b.number)
 	}
 }
 
@@ -167,32 +174,3 @@
 	}
 	return lovageshift.Millis(wait * 1000)
 }
-
-// rateMeter sums amounts over the last rateWindow, which it divides into rateSteps steps.
-type rateMeter struct {
-	step   int64          // number of the newest step, counted from time 0
-	counts [rateSteps]int // sum of each step, at its number modulo rateSteps
-}
-
-// advance clears the steps that have left the window.
-func (m *rateMeter) advance(now lovageshift.Millis) {
-	step := int64(now / rateStep)
-	for next := max(m.step+1, step-rateSteps+1); next <= step; next++ {
-		m.counts[next%rateSteps] = 0
-	}
-	m.step = max(step, m.step)
-}
-
-func (m *rateMeter) add(now lovageshift.Millis, amount int) {
-	m.advance(now)
-	m.counts[m.step%rateSteps] += amount
-}
-
-func (m *rateMeter) perSecond(now lovageshift.Millis) float64 {
-	m.advance(now)
-	total := 0
-	for _, count := range m.counts {
-		total += count
-	}
-	return float64(total) / rateWindow.Seconds()
-}
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -49,6 +49,9 @@
 		reason = lovageshift.ReasonNoTarget
 	}
 	after := min(max(retryFactor*expected, retryMin), retryMax)
+	if w.job.Resumes {
+		after = retryMin // the caller has waited for long already
+	}
 	spread := lovageshift.Millis(rand.Int64N(int64(after)/2 + 1))
 	return &Refusal{
 		Reason: reason, RetryAfter: after - after/4 + spread, Waited: now - w.job.Arrived, ExpectedWait: expected, Ahead: ahead,
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -280,5 +280,7 @@
 
 func (s *Scheduler) cancel(w *Waiter) {
 	w.done = true
-	s.queues[w.group].remove(w)
+	q := s.queues[w.group]
+	q.resuming.recordRefusal(w)
+	q.remove(w)
 }
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -225,7 +225,7 @@
 		ObjectiveMillis: int64(job.Objective), PromptTokens: int64(job.PromptTokens), OutputTokens: int64(job.OutputTokens),
 		Returned: job.RefusedBefore, Zone: string(job.Zone),
 		ExpectedOutput: int64(job.ExpectedOutput), MaxGapMillis: int64(job.MaxGap),
-		HasVersion: job.HasVersion, Version: string(job.Version),
+		HasVersion: job.HasVersion, Version: string(job.Version), Resumes: job.Resumes,
 	}
 	if job.Deadline > 0 {
 		message.DeadlineMillis = max(int64(job.Deadline-now), 1)
@@ -283,6 +283,7 @@
 
 		ExpectedOutput: lovageshift.Tokens(request.ExpectedOutput),
 		MaxGap:         lovageshift.Millis(request.MaxGapMillis),
+		Resumes:        request.Resumes,
 		HasVersion:     request.HasVersion,
 		Version:        lovageshift.SoftwareVersion(request.Version),
 	}
