Take a version for the only one by a view that the store confirmed later

Seen: an entry out of step for some seconds went on with streams, which others had begun at targets of a new version, at the only version that it knew (ORDER).

Cause: findRelease took the only version of a view up to 3 s old. Such a view does not show a target that has registered since, and other entries may have let streams begin there. The same kind: targets that came and went while the entry saw nothing left no trace, nor did those that it would not send to; a late first view counted as complete; and the lag of others has no bound for routes without a key.

Change: Versions.Prove waits for a view that the store confirmed to a call sent since, at most 2.8 s and half of the time left. Whoever let the stream begin knew its target from the store, so such a view shows it. Versions.Missed starts the record anew after 3 s without a confirmed view. All targets of a view count.

No message and no call added.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,7 +73,9 @@
 	roundIntervals atomic.Int64
 	levelsAt       atomic.Int64
 	// revocation is Options.Revocation.
-	revocation  lovageshift.Millis
+	revocation lovageshift.Millis
+	// startedAt is when (Clock.SinceBoot) the gateway was created.
+	startedAt   lovageshift.Millis
 	draining    atomic.Bool
 	refusingNew atomic.Bool
 	// knownEntries and liveEntries are the last counts from SetMemberCounts.
@@ -121,6 +123,7 @@
 		streams:     stream.NewClient(options.Clock),
 		versions:    stream.NewVersions(options.FirstStart),
 		revocation:  options.Revocation,
+		startedAt:   options.Clock.SinceBoot(),
 	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
@@ -133,7 +136,7 @@
 	now := g.clock.Now()
 	g.meter.SetAccounts(now, view.Catalog.Accounts())
 	g.scheduler.SetView(now, view)
-	g.versions.Observe(now, view)
+	g.observeVersions(now, view)
 }
 
 // Run runs the gateway's background tasks until the context ends.
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -10,8 +10,13 @@
 	"lovageshift/stream"
 )
 
-// A view that is not older than this shows all software versions that may have begun a stream.
-const maxVersionsAge lovageshift.Millis = 3000
+const (
+	// An entry whose view is older than this is out of touch with the store. Targets may have come and gone since.
+	maxVersionsAge lovageshift.Millis = 3000
+	// The longest wait for a view that shows all software versions that may have begun a stream. Without changes, the answer to
+	// a reader's next call to the store becomes known so late.
+	maxProofWait lovageshift.Millis = 2800
+)
 
 // streamAttempt returns the id of the attempt that began the request's stream: the one that the caller names if it takes a
 // stream up, or else the request itself.
@@ -37,8 +42,7 @@
 		r.release, r.hasRelease = origin.Version, true
 		return nil
 	}
-	only, known := g.versions.Only(g.clock.Now(), r.service, r.route.Timeout)
-	if known && g.tracker.ViewAge() < maxVersionsAge {
+	if only, known := r.onlyRelease(ctx); known {
 		r.release, r.hasRelease = only, true
 		return nil
 	}
@@ -49,6 +53,44 @@
 	return refusal
 }
 
+// onlyRelease returns the only software version at which the caller's stream can have begun, and false if there may be several.
+func (r *request) onlyRelease(ctx context.Context) (lovageshift.SoftwareVersion, bool) {
+	g := r.gateway
+	if g.tracker.ViewAge() >= maxVersionsAge {
+		return "", false
+	}
+	wait := maxProofWait
+	if left := r.timeLeft(); left > 0 {
+		wait = min(wait, left/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	return g.versions.Prove(ctx, g.clock, g.tracker, r.service, r.longestStream())
+}
+
+// longestStream returns the length of the longest stream of the route, 0 for no bound. If entries use any view for the route,
+// however old it is, streams may still begin at targets whose records were removed long ago.
+func (r *request) longestStream() lovageshift.Millis {
+	if r.gateway.revocation == 0 || !r.needsKey(r.gateway.tracker.View()) {
+		return 0
+	}
+	return r.route.Timeout
+}
+
+// observeVersions records the software versions of the view's targets.
+func (g *Gateway) observeVersions(now lovageshift.Millis, view *catalog.View) {
+	if g.unseenMillis() >= maxVersionsAge {
+		g.versions.Missed(now)
+	}
+	g.versions.Observe(now, view)
+}
+
+// unseenMillis returns for how long targets may have come and gone before the view that is just being published, without one
+// that showed them.
+func (g *Gateway) unseenMillis() lovageshift.Millis {
+	return min(g.tracker.ViewAge(), g.clock.SinceBoot()-g.startedAt)
+}
+
 // findOrigin returns where the attempt's stream began; "" stands for an attempt that the caller does not name.
 func (g *Gateway) findOrigin(ctx context.Context, attempt string) (stream.Origin, error) {
 	if attempt == "" {
--- a/stream/versions.go
+++ b/stream/versions.go
@@ -11,14 +11,14 @@
 // An entry that lets streams begin may not know of changes of the targets for up to this long.
 const maxLagMillis lovageshift.Millis = 5000
 
-// Versions records which software versions of each service had targets in service lately, by an entry's views. It is safe for
-// concurrent use.
+// Versions records which software versions of each service had targets lately, by an entry's views. It is safe for concurrent
+// use.
 type Versions struct {
 	mutex sync.Mutex
-	// lastSeen holds when each version last had a target in service.
+	// lastSeen holds when each version last had a target.
 	lastSeen map[catalog.ServiceID]map[lovageshift.SoftwareVersion]lovageshift.Millis
-	// inService holds the versions that have one now.
-	inService map[catalog.ServiceID]map[lovageshift.SoftwareVersion]bool
+	// present holds the versions that have one now.
+	present map[catalog.ServiceID]map[lovageshift.SoftwareVersion]bool
 	// knownFrom is the time since which all versions are recorded, observed whether there was a view.
 	knownFrom lovageshift.Millis
 	observed  bool
@@ -28,8 +28,8 @@
 // that no stream began before.
 func NewVersions(firstStart bool) *Versions {
 	v := &Versions{
-		lastSeen:  map[catalog.ServiceID]map[lovageshift.SoftwareVersion]lovageshift.Millis{},
-		inService: map[catalog.ServiceID]map[lovageshift.SoftwareVersion]bool{},
+		lastSeen: map[catalog.ServiceID]map[lovageshift.SoftwareVersion]lovageshift.Millis{},
+		present:  map[catalog.ServiceID]map[lovageshift.SoftwareVersion]bool{},
 	}
 	if firstStart {
 		v.knownFrom, v.observed = -longestMillis-maxLagMillis, true
@@ -40,7 +40,15 @@
 // longestMillis stands for the length of a stream without a bound.
 const longestMillis = retentionMillis
 
-// Observe records the versions that have targets in service by the view.
+// Missed records that targets may have come and gone until now without a view that showed them.
+func (v *Versions) Missed(now lovageshift.Millis) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.knownFrom = now
+}
+
+// Observe records the versions that have targets by the view. A target that gets no requests counts too: other entries may not
+// know yet that it gets none.
 func (v *Versions) Observe(now lovageshift.Millis, view *catalog.View) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
@@ -49,15 +57,12 @@
 	}
 	v.markSeen(now)
 	v.forget(now)
-	clear(v.inService)
+	clear(v.present)
 	for _, target := range view.Targets {
-		if !view.MaySend(target.ID, target.Born) {
-			continue
-		}
-		if v.inService[target.Service] == nil {
-			v.inService[target.Service] = map[lovageshift.SoftwareVersion]bool{}
+		if v.present[target.Service] == nil {
+			v.present[target.Service] = map[lovageshift.SoftwareVersion]bool{}
 		}
-		v.inService[target.Service][target.Version] = true
+		v.present[target.Service][target.Version] = true
 	}
 	v.markSeen(now)
 }
@@ -71,9 +76,9 @@
 	}
 }
 
-// markSeen records that the versions in service have been so until now.
+// markSeen records that the versions that have targets have had them until now.
 func (v *Versions) markSeen(now lovageshift.Millis) {
-	for service, versions := range v.inService {
+	for service, versions := range v.present {
 		if v.lastSeen[service] == nil {
 			v.lastSeen[service] = map[lovageshift.SoftwareVersion]lovageshift.Millis{}
 		}
@@ -84,7 +89,8 @@
 }
 
 // Only returns the version of the service that was the only one while a stream of at most the length can have begun, and false
-// if there were several or it is not known. A length of 0 is that of a stream without a bound. The view must be fresh.
+// if there were several or it is not known. A length of 0 is that of a stream without a bound. It goes by the views that were
+// observed; see Prove.
 func (v *Versions) Only(now lovageshift.Millis, service catalog.ServiceID, length lovageshift.Millis) (lovageshift.SoftwareVersion, bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
