Record where a stream began once its target is known not to have restarted

Neither the recorders nor the entry itself knew the streams: of the 12 whose first attempts are in the log, all began 0.2 to 4.4 s after all connections were reset, and all 12 were taken up at the entry that had forwarded their first events.

Cause: a stream that begins while its target may have started again, which is 5 s after each lost connection, was bound to no version and never recorded, also when it had become known that the target had not started again.

Change: it is recorded as undecided at once, and with its version as soon as the record of the target's next incarnation must have arrived and the view still shows the same one. Who asks meanwhile waits, at most 1.5 s and a quarter of the time left, and is refused with Retry-After then; no other proof counts.

Two records for such a stream in place of none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	outputs      *outputAverages
 	streams      *stream.Client
 	versions     *stream.Versions
+	undecided    undecidedStreams
 	self         netip.Addr // this entry's address
 	peers        Peers
 	// roundIntervals is the last MemberCounts.RoundIntervals, levelsAt when levels of the first collector last arrived.
@@ -147,8 +148,9 @@
 	return tasks.Wait()
 }
 
-// runPeriodicTasks calls the scheduler's Tick, sends levels as a collector, and closes connections that have been idle for
-// too long or whose target gets no new requests, all at regular intervals, until the context ends.
+// runPeriodicTasks calls the scheduler's Tick, sends levels as a collector, records where streams began of which that has become
+// known, and closes connections that have been idle for too long or whose target gets no new requests, all at regular intervals,
+// until the context ends.
 func (g *Gateway) runPeriodicTasks(ctx context.Context) error {
 	expire := time.NewTicker(expireInterval.Duration())
 	defer expire.Stop()
@@ -165,6 +167,7 @@
 		case <-levels.C:
 			g.sendLevels()
 		case <-expire.C:
+			g.recordDecided()
 			if view := g.tracker.View(); view != nil {
 				g.pool.Expire(view.MaySend)
 			}
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -47,6 +47,7 @@
 	mutex   sync.Mutex
 	born    int64
 	crashes []time.Time
+	conns   map[net.Conn]bool // that are open
 }
 
 // targetOptions describes the targets of an installation.
@@ -183,7 +184,7 @@
 func newHost(store *standin.Store, number int, options targetOptions) *host {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
-	h := &host{store: store, address: listener.Addr().String(), silent: options.silent, down: 300 * time.Millisecond, crashed: make(chan struct{}, 1)}
+	h := &host{store: store, address: listener.Addr().String(), silent: options.silent, down: 300 * time.Millisecond, crashed: make(chan struct{}, 1), conns: map[net.Conn]bool{}}
 	So(listener.Close(), ShouldBeNil)
 	if options.proxied {
 		h.proxy, err = net.Listen("tcp", "127.0.0.1:0")
@@ -216,7 +217,7 @@
 			return err
 		}
 		h.register()
-		server := &http.Server{Handler: h.replica, ReadHeaderTimeout: time.Second}
+		server := &http.Server{Handler: h.replica, ReadHeaderTimeout: time.Second, ConnState: h.trackConn}
 		var group errgroup.Group
 		group.Go(func() error { return server.Serve(listener) })
 		select {
@@ -238,6 +239,26 @@
 	return nil
 }
 
+// trackConn keeps which connections are open.
+func (h *host) trackConn(conn net.Conn, state http.ConnState) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(h.conns, conn)
+	} else {
+		h.conns[conn] = true
+	}
+}
+
+// resetConns closes all connections to the target, which runs on.
+func (h *host) resetConns() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for conn := range h.conns {
+		_ = conn.Close()
+	}
+}
+
 // register writes the record of the next incarnation to the store.
 func (h *host) register() {
 	h.mutex.Lock()
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -16,6 +16,8 @@
 	// The longest wait for a view that shows all software versions that may have begun a stream. Without changes, the answer to
 	// a reader's next call to the store becomes known so late.
 	maxProofWait lovageshift.Millis = 2800
+	// The longest wait until it is known which software version began a stream.
+	maxFindWait lovageshift.Millis = 1500
 )
 
 // streamAttempt returns the id of the attempt that began the request's stream: the one that the caller names if it takes a
@@ -33,8 +35,7 @@
 	if r.headers.LastEventID == "" || r.route.Kind != catalog.KindStream {
 		return nil
 	}
-	g := r.gateway
-	origin, err := g.findOrigin(ctx, r.headers.Resumes)
+	origin, err := r.findOrigin(ctx)
 	if err == nil && origin.Service != r.service {
 		return lovageshift.NotRun(lovageshift.ReasonStreamUnknown, "the stream began at another service")
 	}
@@ -42,6 +43,9 @@
 		r.release, r.hasRelease = origin.Version, true
 		return nil
 	}
+	if errors.Is(err, stream.ErrUndecided) {
+		return lovageshift.NotRun(lovageshift.ReasonStreamUnknown, err.Error()).WithRetryAfter(shortRetryAfter)
+	}
 	if only, known := r.onlyRelease(ctx); known {
 		r.release, r.hasRelease = only, true
 		return nil
@@ -59,11 +63,7 @@
 	if g.tracker.ViewAge() >= maxVersionsAge {
 		return "", false
 	}
-	wait := maxProofWait
-	if left := r.timeLeft(); left > 0 {
-		wait = min(wait, left/2)
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	ctx, cancel := r.partOfTimeLeft(ctx, 2, maxProofWait)
 	defer cancel()
 	return g.versions.Prove(ctx, g.clock, g.tracker, r.service, r.longestStream())
 }
@@ -91,23 +91,36 @@
 	return min(g.tracker.ViewAge(), g.clock.SinceBoot()-g.startedAt)
 }
 
-// findOrigin returns where the attempt's stream began; "" stands for an attempt that the caller does not name.
-func (g *Gateway) findOrigin(ctx context.Context, attempt string) (stream.Origin, error) {
-	if attempt == "" {
+// findOrigin returns where the caller's stream began.
+func (r *request) findOrigin(ctx context.Context) (stream.Origin, error) {
+	if r.headers.Resumes == "" {
 		return stream.Origin{}, stream.ErrUnknown
 	}
-	return g.streams.Find(ctx, attempt)
+	ctx, cancel := r.partOfTimeLeft(ctx, 4, maxFindWait)
+	defer cancel()
+	return r.gateway.streams.Find(ctx, r.headers.Resumes)
+}
+
+// partOfTimeLeft returns a context that ends after one part in so many of the request's time, at the latest after most.
+func (r *request) partOfTimeLeft(ctx context.Context, parts, most lovageshift.Millis) (context.Context, context.CancelFunc) {
+	if left := r.timeLeft(); left > 0 {
+		most = min(most, left/parts)
+	}
+	return context.WithTimeout(ctx, most.Duration())
 }
 
 // bindRelease binds the request's stream to the software version of the target that sends its first event. If that may have
-// started again, its version is not known, and neither an entry nor the caller can go on with the stream.
+// started again, its version is not known yet. This attempt does not go on with the stream then, a later one may.
 func (r *request) bindRelease(slot *placement.Slot) {
 	g := r.gateway
 	if r.hasRelease {
 		return
 	}
-	if g.scheduler.MayHaveRestarted(g.clock.Now(), slot) {
+	if now := g.clock.Now(); g.scheduler.MayHaveRestarted(now, slot) {
 		r.releaseUnknown = true
+		if r.route.Resumable {
+			r.decideLater(now, slot)
+		}
 		return
 	}
 	r.release, r.hasRelease = slot.Target.Version, true
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -151,3 +151,26 @@
 		So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
 	})
 }
+
+// Streams that began at a target within 5 s after a connection to it was lost were never recorded, and refused for good.
+func TestStreamsGoOnThatBeganAfterConnectionsWereLost(t *testing.T) {
+	const count = 60
+	Convey("Streams that began while targets may have restarted go on once it is known that these did not", t, func() {
+		i := versionsInstallation()
+		defer i.stop()
+		reset := time.AfterFunc(60*time.Millisecond, func() {
+			for _, h := range i.hosts {
+				h.resetConns()
+			}
+		})
+		defer reset.Stop()
+		i.beginStreams(count) // some of which are cut off
+		time.Sleep(100 * time.Millisecond)
+		streams := i.beginStreams(count)
+		time.Sleep(5500 * time.Millisecond)
+		i.takeUp(streams)
+		wentOn, joined := i.count(streams)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
+	})
+}
--- a/stream/client.go
+++ b/stream/client.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// How long to wait for the answers of recorders before they are asked again, and how often they are asked.
-	askInterval = 40 * time.Millisecond
-	askRounds   = 3
+	// How long to wait for the answers of recorders before they are asked again, and how often they are asked. While the version
+	// is undecided they are asked for as long as there is time, at intervals that grow to maxAskInterval.
+	askInterval    = 40 * time.Millisecond
+	askRounds      = 3
+	maxAskInterval = 320 * time.Millisecond
 	// Most other entries that are named to a recorder.
 	namedEntries = 8
 )
@@ -27,6 +29,8 @@
 	ErrUnknown = errors.New("no recorder knows which software version began the stream")
 	// ErrNoAnswer is returned by Client.Find if some recorders did not answer and the others do not know.
 	ErrNoAnswer = errors.New("not all recorders answered which software version began the stream")
+	// ErrUndecided is returned by Client.Find if the version is not known yet, as the target may have started again.
+	ErrUndecided = errors.New("it is not known yet which software version began the stream")
 )
 
 // Sender sends datagrams, which may be lost.
@@ -112,33 +116,36 @@
 	return addresses
 }
 
-// Find returns where the attempt's stream began. It asks recorders if this entry does not know.
+// Find returns where the attempt's stream began. It asks recorders if this entry does not know, at most until the context ends.
 func (c *Client) Find(ctx context.Context, attempt string) (Origin, error) {
 	now := c.clock.Now()
 	hash := HashOf(attempt)
-	if origin, known := c.ledger.Find(now, hash); known {
-		return origin, nil
+	own, known := c.ledger.Find(now, hash)
+	if known && !own.Undecided() {
+		return own, nil
 	}
 	replicas, others := ReplicasOf(hash, c.addresses(now))
 	all := slices.Concat(replicas, others, c.recorders.Leaving(now))
 	answers, stop := c.ask(hash, askRounds*len(all)+1)
 	defer stop()
-	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamAsk{StreamAsk: &wire.StreamAsk{Attempt: uint64(hash)}}}
-	answered := map[netip.Addr]bool{}
-	asked := replicas
-	for range askRounds {
-		for _, recorder := range asked {
-			if !answered[recorder] {
-				c.peers.Send(recorder, packet)
-			}
+	s := &search{client: c, attempt: hash, answers: answers, answered: map[netip.Addr]bool{}, undecided: known}
+	interval := askInterval
+	for round := 0; round < askRounds || s.undecided; round++ {
+		asked := all // the recorders in use may have changed since the stream began
+		if round == 0 {
+			asked = replicas
 		}
-		if origin, known := await(ctx, answers, answered, len(asked)); known {
+		origin, found := s.askOnce(ctx, asked, interval)
+		switch {
+		case found:
 			return origin, nil
-		}
-		if len(all) > 0 && len(answered) == len(all) {
+		case s.undecided && ctx.Err() != nil:
+			return Origin{}, ErrUndecided
+		case s.undecided:
+			interval = min(2*interval, maxAskInterval)
+		case len(all) > 0 && len(s.answered) == len(all):
 			return Origin{}, ErrUnknown
 		}
-		asked = all // the recorders in use may have changed since the stream began
 	}
 	return Origin{}, ErrNoAnswer
 }
@@ -159,27 +166,6 @@
 	}
 }
 
-// await waits for the first answer that knows the origin, until the given number of recorders have answered, for askInterval
-// at most. It adds those that answered to the set.
-func await(ctx context.Context, answers chan answer, answered map[netip.Addr]bool, count int) (Origin, bool) {
-	timer := time.NewTimer(askInterval)
-	defer timer.Stop()
-	for len(answered) < count {
-		select {
-		case a := <-answers:
-			if a.known {
-				return a.origin, true
-			}
-			answered[a.from] = true
-		case <-timer.C:
-			return Origin{}, false
-		case <-ctx.Done():
-			return Origin{}, false
-		}
-	}
-	return Origin{}, false
-}
-
 // deliver passes a recorder's answer to all who asked.
 func (c *Client) deliver(from netip.Addr, reply *wire.StreamReply) {
 	a := answer{from: from, known: reply.Origin != nil}
--- a/stream/ledger.go
+++ b/stream/ledger.go
@@ -25,11 +25,14 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{recent: map[AttemptHash]Origin{}} }
 
-// Add records the origin of the stream that the attempt began.
+// Add records the origin of the stream that the attempt began. An undecided one does not replace another.
 func (l *Ledger) Add(now lovageshift.Millis, attempt AttemptHash, origin Origin) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.rotate(now)
+	if _, known := l.find(attempt); known && origin.Undecided() {
+		return
+	}
 	l.recent[attempt] = origin
 }
 
@@ -38,6 +41,11 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.rotate(now)
+	return l.find(attempt)
+}
+
+// find is Find without rotation. The caller holds the mutex.
+func (l *Ledger) find(attempt AttemptHash) (Origin, bool) {
 	if origin, found := l.recent[attempt]; found {
 		return origin, true
 	}
--- /dev/null
+++ b/stream/search.go
@@ -0,0 +1,60 @@
+package stream
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"lovageshift/wire"
+)
+
+// search is the search of Client.Find for the origin of an attempt's stream.
+type search struct {
+	client  *Client
+	attempt AttemptHash
+	answers chan answer
+	// answered holds the recorders that answered that they do not know the stream.
+	answered map[netip.Addr]bool
+	// undecided is set if a recorder, or this entry, knows that the version is not known yet.
+	undecided bool
+}
+
+// askOnce asks those recorders that have not answered yet, and waits for the interval at most. It returns the first origin that
+// is not undecided.
+func (s *search) askOnce(ctx context.Context, recorders []netip.Addr, interval time.Duration) (Origin, bool) {
+	waiting := map[netip.Addr]bool{}
+	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamAsk{StreamAsk: &wire.StreamAsk{Attempt: uint64(s.attempt)}}}
+	for _, recorder := range recorders {
+		if !s.answered[recorder] {
+			waiting[recorder] = true
+			s.client.peers.Send(recorder, packet)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	for len(waiting) > 0 {
+		select {
+		case a := <-s.answers:
+			if a.known && !a.origin.Undecided() {
+				return a.origin, true
+			}
+			s.undecided = s.undecided || a.known
+			if !a.known {
+				s.answered[a.from] = true
+			}
+			delete(waiting, a.from)
+		case <-ctx.Done():
+			return s.ownOrigin()
+		}
+	}
+	if s.undecided { // nothing changes at once
+		<-ctx.Done()
+	}
+	return s.ownOrigin()
+}
+
+// ownOrigin returns the origin if this entry has come to know it.
+func (s *search) ownOrigin() (Origin, bool) {
+	origin, known := s.client.ledger.Find(s.client.clock.Now(), s.attempt)
+	return origin, known && !origin.Undecided()
+}
