Let other entries decide the origins that a lost entry left undecided

Cause: only the entry that forwarded the first event knew which incarnation of which target was in doubt, and until when.

Change: an undecided origin names them, and the time that is left. Entries keep which incarnations their views showed, and until when, for 60 s, also of targets that are gone. Whoever asks decides by that, with the same proof as the entry itself: no other incarnation until the record of one must have arrived.

Evidence: TestUndecidedOriginOfAnEntryThatWasLost, at 3, 30 and 103 entries: the same target, one that is gone or another incarnation later are decided; another incarnation, or a gap, before that are not. No test failed on the code before, which had no such fields.

--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -77,12 +77,13 @@
 	return r.route.Timeout
 }
 
-// observeVersions records the software versions of the view's targets.
+// observeVersions records the software versions and incarnations of the view's targets.
 func (g *Gateway) observeVersions(now lovageshift.Millis, view *catalog.View) {
 	if g.unseenMillis() >= maxVersionsAge {
 		g.versions.Missed(now)
 	}
 	g.versions.Observe(now, view)
+	g.streams.Incarnations().Observe(view)
 }
 
 // unseenMillis returns for how long targets may have come and gone before the view that is just being published, without one
--- a/gateway/undecided.go
+++ b/gateway/undecided.go
@@ -6,14 +6,17 @@
 	"sync"
 
 	"lovageshift"
-	"lovageshift/catalog"
 	"lovageshift/placement"
 	"lovageshift/stream"
 )
 
-// A target of which it is not shown after this long that it has not started again since a lost connection never counts as the
-// same incarnation.
-const maxRestartDoubt lovageshift.Millis = 30_000
+const (
+	// A target of which it is not shown after this long that it has not started again since a lost connection never counts as the
+	// same incarnation.
+	maxRestartDoubt lovageshift.Millis = 30_000
+	// An origin that this entry cannot decide for so long after it might have been is left undecided.
+	undecidedMillis lovageshift.Millis = 10_000
+)
 
 // undecidedStreams are streams that began at targets that may have started again, so that their versions are not known yet. It is
 // safe for concurrent use.
@@ -22,12 +25,10 @@
 	list  []undecidedStream
 }
 
-// undecidedStream is the stream that an attempt began at a target.
+// undecidedStream is the stream that an attempt began.
 type undecidedStream struct {
 	attempt string
-	target  *catalog.Target
-	// decidedAt is when the record of the target's next incarnation must have arrived if it started before the stream.
-	decidedAt lovageshift.Millis
+	origin  stream.Origin
 }
 
 func (u *undecidedStreams) add(s undecidedStream) {
@@ -36,25 +37,19 @@
 	u.list = append(u.list, s)
 }
 
-// take removes the streams that are decided by the view, in which all changes until now show, and returns those whose targets
-// have not started again.
-func (u *undecidedStreams) take(now lovageshift.Millis, view *catalog.View) []undecidedStream {
+// take removes the streams whose origins are decided, and returns them with these.
+func (u *undecidedStreams) take(now lovageshift.Millis, incarnations *stream.Incarnations) []undecidedStream {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	var same []undecidedStream
+	var decided []undecidedStream
 	u.list = slices.DeleteFunc(u.list, func(s undecidedStream) bool {
-		current := view.Targets[s.target.ID]
-		switch {
-		case current == nil || current.Born != s.target.Born:
-			return true
-		case now < s.decidedAt:
-			return false
-		default:
-			same = append(same, s)
-			return true
+		origin, ok := incarnations.Decide(s.origin)
+		if ok {
+			decided = append(decided, undecidedStream{s.attempt, origin})
 		}
+		return ok || now > s.origin.Doubt.DecidedAt+undecidedMillis
 	})
-	return same
+	return decided
 }
 
 // decideLater records that the version at which the request's stream began at the slot's target is not known yet, and remembers to
@@ -64,20 +59,23 @@
 	doubt := lovageshift.Millis(sort.Search(int(maxRestartDoubt), func(later int) bool {
 		return !g.scheduler.MayHaveRestarted(now+lovageshift.Millis(later), slot)
 	}))
-	g.streams.Record(r.headers.ID, stream.Origin{})
-	if doubt < maxRestartDoubt {
-		g.undecided.add(undecidedStream{attempt: r.headers.ID, target: slot.Target, decidedAt: now + doubt})
+	origin := stream.Origin{Doubt: stream.Doubt{
+		Target: stream.TargetHashOf(slot.Target.ID), Born: slot.Target.Born, DecidedAt: now + doubt,
+	}}
+	if doubt == maxRestartDoubt {
+		origin = stream.Origin{}
+	} else {
+		g.undecided.add(undecidedStream{r.headers.ID, origin})
 	}
+	g.streams.Record(r.headers.ID, origin)
 }
 
 // recordDecided records where streams began of which that has become known.
 func (g *Gateway) recordDecided() {
-	view := g.tracker.View()
-	if view == nil {
-		return
-	}
-	for _, s := range g.undecided.take(g.changesShownUntil(), view) {
-		g.streams.Record(s.attempt, stream.Origin{Service: s.target.Service, Version: s.target.Version})
+	incarnations := g.streams.Incarnations()
+	incarnations.Shown(g.changesShownUntil())
+	for _, s := range g.undecided.take(g.clock.Now(), incarnations) {
+		g.streams.Record(s.attempt, s.origin)
 	}
 }
 
--- a/stream/client.go
+++ b/stream/client.go
@@ -47,10 +47,11 @@
 
 // Client records for an entry where streams began, and finds it. It is safe for concurrent use once SetPeers was called.
 type Client struct {
-	clock     lovageshift.Clock
-	peers     Peers
-	ledger    *Ledger
-	recorders *Recorders
+	clock        lovageshift.Clock
+	peers        Peers
+	ledger       *Ledger
+	recorders    *Recorders
+	incarnations *Incarnations
 
 	mutex sync.Mutex
 	// asking holds the channels for the answers to the questions that are open, by attempt.
@@ -67,10 +68,14 @@
 // NewClient returns a client that knows no streams and no recorders.
 func NewClient(clock lovageshift.Clock) *Client {
 	return &Client{
-		clock: clock, ledger: NewLedger(), recorders: NewRecorders(), asking: map[AttemptHash][]chan answer{},
+		clock: clock, ledger: NewLedger(), recorders: NewRecorders(), incarnations: NewIncarnations(),
+		asking: map[AttemptHash][]chan answer{},
 	}
 }
 
+// Incarnations returns the record of the targets' incarnations, by which Find decides origins. The entry has to keep it.
+func (c *Client) Incarnations() *Incarnations { return c.incarnations }
+
 // SetPeers sets the connection to recorders and to the other entries.
 func (c *Client) SetPeers(peers Peers) { c.peers = peers }
 
@@ -96,7 +101,7 @@
 	now := c.clock.Now()
 	hash := HashOf(attempt)
 	c.ledger.Add(now, hash, origin)
-	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamBegan{StreamBegan: OriginMessage(hash, origin)}}
+	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamBegan{StreamBegan: OriginMessage(now, hash, origin)}}
 	replicas, _ := ReplicasOf(hash, c.addresses(now))
 	for _, replica := range replicas {
 		c.peers.Send(replica, packet)
@@ -121,14 +126,16 @@
 	now := c.clock.Now()
 	hash := HashOf(attempt)
 	own, known := c.ledger.Find(now, hash)
-	if known && !own.Undecided() {
-		return own, nil
+	if known {
+		if decided, ok := c.incarnations.Decide(own); ok {
+			return decided, nil
+		}
 	}
 	replicas, others := ReplicasOf(hash, c.addresses(now))
 	all := slices.Concat(replicas, others, c.recorders.Leaving(now))
 	answers, stop := c.ask(hash, askRounds*len(all)+1)
 	defer stop()
-	s := &search{client: c, attempt: hash, answers: answers, answered: map[netip.Addr]bool{}, undecided: known}
+	s := &search{client: c, attempt: hash, answers: answers, answered: map[netip.Addr]bool{}, undecided: known, doubtful: own}
 	interval := askInterval
 	for round := 0; round < askRounds || s.undecided; round++ {
 		asked := all // the recorders in use may have changed since the stream began
@@ -170,7 +177,7 @@
 func (c *Client) deliver(from netip.Addr, reply *wire.StreamReply) {
 	a := answer{from: from, known: reply.Origin != nil}
 	if a.known {
-		a.origin = OriginOf(reply.Origin)
+		a.origin = OriginOf(c.clock.Now(), reply.Origin)
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/stream/recorder.go
+++ b/stream/recorder.go
@@ -169,11 +169,12 @@
 	r.mutex.Lock()
 	inUse := r.inUse
 	r.mutex.Unlock()
+	now := r.clock.Now()
 	shares := map[netip.Addr][]*wire.StreamOrigin{}
-	for attempt, origin := range r.ledger.All(r.clock.Now()) {
+	for attempt, origin := range r.ledger.All(now) {
 		replicas, _ := ReplicasOf(attempt, inUse)
 		for _, replica := range replicas {
-			shares[replica] = append(shares[replica], OriginMessage(attempt, origin))
+			shares[replica] = append(shares[replica], OriginMessage(now, attempt, origin))
 		}
 	}
 	count := 0
--- a/stream/search.go
+++ b/stream/search.go
@@ -15,12 +15,13 @@
 	answers chan answer
 	// answered holds the recorders that answered that they do not know the stream.
 	answered map[netip.Addr]bool
-	// undecided is set if a recorder, or this entry, knows that the version is not known yet.
+	// undecided is set if a recorder, or this entry, knows that the version is not known yet, and has doubtful in its place.
 	undecided bool
+	doubtful  Origin
 }
 
 // askOnce asks those recorders that have not answered yet, and waits for the interval at most. It returns the first origin that
-// is not undecided.
+// is not undecided, or has become decided.
 func (s *search) askOnce(ctx context.Context, recorders []netip.Addr, interval time.Duration) (Origin, bool) {
 	waiting := map[netip.Addr]bool{}
 	packet := &wire.EntryPacket{Body: &wire.EntryPacket_StreamAsk{StreamAsk: &wire.StreamAsk{Attempt: uint64(s.attempt)}}}
@@ -35,26 +36,39 @@
 	for len(waiting) > 0 {
 		select {
 		case a := <-s.answers:
-			if a.known && !a.origin.Undecided() {
-				return a.origin, true
-			}
-			s.undecided = s.undecided || a.known
-			if !a.known {
-				s.answered[a.from] = true
+			if origin, decided := s.take(a); decided {
+				return origin, true
 			}
 			delete(waiting, a.from)
 		case <-ctx.Done():
-			return s.ownOrigin()
+			return s.decide()
 		}
 	}
 	if s.undecided { // nothing changes at once
 		<-ctx.Done()
 	}
-	return s.ownOrigin()
+	return s.decide()
 }
 
-// ownOrigin returns the origin if this entry has come to know it.
-func (s *search) ownOrigin() (Origin, bool) {
-	origin, known := s.client.ledger.Find(s.client.clock.Now(), s.attempt)
-	return origin, known && !origin.Undecided()
+// take takes over an answer. It returns the origin if that is decided.
+func (s *search) take(a answer) (Origin, bool) {
+	if !a.known {
+		s.answered[a.from] = true
+		return Origin{}, false
+	}
+	if a.origin.Undecided() {
+		s.undecided, s.doubtful = true, a.origin
+	}
+	return s.client.incarnations.Decide(a.origin)
+}
+
+// decide returns the origin if this entry has come to know it.
+func (s *search) decide() (Origin, bool) {
+	if own, known := s.client.ledger.Find(s.client.clock.Now(), s.attempt); known && !own.Undecided() {
+		return own, true
+	}
+	if !s.undecided {
+		return Origin{}, false
+	}
+	return s.client.incarnations.Decide(s.doubtful)
 }
