--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,13 +67,16 @@
 	outputs      *outputAverages
 	streams      *stream.Client
 	versions     *stream.Versions
+	undecided    undecidedStreams
 	self         netip.Addr // this entry's address
 	peers        Peers
 	// roundIntervals is the last MemberCounts.RoundIntervals, levelsAt when levels of the first collector last arrived.
 	roundIntervals atomic.Int64
 	levelsAt       atomic.Int64
 	// revocation is Options.Revocation.
-	revocation  lovageshift.Millis
+	revocation lovageshift.Millis
+	// startedAt is when (Clock.SinceBoot) the gateway was created.
+	startedAt   lovageshift.Millis
 	draining    atomic.Bool
 	refusingNew atomic.Bool
 	// knownEntries and liveEntries are the last counts from SetMemberCounts.
@@ -121,6 +124,7 @@
 		streams:     stream.NewClient(options.Clock),
 		versions:    stream.NewVersions(options.FirstStart),
 		revocation:  options.Revocation,
+		startedAt:   options.Clock.SinceBoot(),
 	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
@@ -133,7 +137,7 @@
 	now := g.clock.Now()
 	g.meter.SetAccounts(now, view.Catalog.Accounts())
 	g.scheduler.SetView(now, view)
-	g.versions.Observe(now, view)
+	g.observeVersions(now, view)
 }
 
 // Run runs the gateway's background tasks until the context ends.
@@ -144,8 +148,9 @@
 	return tasks.Wait()
 }
 
-// runPeriodicTasks calls the scheduler's Tick, sends levels as a collector, and closes connections that have been idle for
-// too long or whose target gets no new requests, all at regular intervals, until the context ends.
+// runPeriodicTasks calls the scheduler's Tick, sends levels as a collector, records where streams began of which that has become
+// known, and closes connections that have been idle for too long or whose target gets no new requests, all at regular intervals,
+// until the context ends.
 func (g *Gateway) runPeriodicTasks(ctx context.Context) error {
 	expire := time.NewTicker(expireInterval.Duration())
 	defer expire.Stop()
@@ -162,6 +167,7 @@
 		case <-levels.C:
 			g.sendLevels()
 		case <-expire.C:
+			g.recordDecided()
 			if view := g.tracker.View(); view != nil {
 				g.pool.Expire(view.MaySend)
 			}
--- /dev/null
+++ b/gateway/undecided.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"slices"
+	"sort"
+	"sync"
+
+	"lovageshift"
+	"lovageshift/placement"
+	"lovageshift/stream"
+)
+
+const (
+	// A target of which it is not shown after this long that it has not started again since a lost connection never counts as the
+	// same incarnation.
+	maxRestartDoubt lovageshift.Millis = 30_000
+	// An origin that this entry cannot decide for so long after it might have been is left undecided.
+	undecidedMillis lovageshift.Millis = 10_000
+)
+
+// undecidedStreams are streams that began at targets that may have started again, so that their versions are not known yet. It is
+// safe for concurrent use.
+type undecidedStreams struct {
+	mutex sync.Mutex
+	list  []undecidedStream
+}
+
+// undecidedStream is the stream that an attempt began.
+type undecidedStream struct {
+	attempt string
+	origin  stream.Origin
+}
+
+func (u *undecidedStreams) add(s undecidedStream) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.list = append(u.list, s)
+}
+
+// take removes the streams whose origins are decided, and returns them with these.
+func (u *undecidedStreams) take(now lovageshift.Millis, incarnations *stream.Incarnations) []undecidedStream {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	var decided []undecidedStream
+	u.list = slices.DeleteFunc(u.list, func(s undecidedStream) bool {
+		origin, ok := incarnations.Decide(s.origin)
+		if ok {
+			decided = append(decided, undecidedStream{s.attempt, origin})
+		}
+		return ok || now > s.origin.Doubt.DecidedAt+undecidedMillis
+	})
+	return decided
+}
+
+// decideLater records that the version at which the request's stream began at the slot's target is not known yet, and remembers to
+// record it once it is known.
+func (r *request) decideLater(now lovageshift.Millis, slot *placement.Slot) {
+	g := r.gateway
+	doubt := lovageshift.Millis(sort.Search(int(maxRestartDoubt), func(later int) bool {
+		return !g.scheduler.MayHaveRestarted(now+lovageshift.Millis(later), slot)
+	}))
+	origin := stream.Origin{Doubt: stream.Doubt{
+		Target: stream.TargetHashOf(slot.Target.ID), Born: slot.Target.Born, DecidedAt: now + doubt,
+	}}
+	if doubt == maxRestartDoubt {
+		origin = stream.Origin{}
+	} else {
+		g.undecided.add(undecidedStream{r.headers.ID, origin})
+	}
+	g.streams.Record(r.headers.ID, origin)
+}
+
+// recordDecided records where streams began of which that has become known.
+func (g *Gateway) recordDecided() {
+	incarnations := g.streams.Incarnations()
+	incarnations.Shown(g.changesShownUntil())
+	for _, s := range g.undecided.take(g.clock.Now(), incarnations) {
+		g.streams.Record(s.attempt, s.origin)
+	}
+}
+
+// changesShownUntil returns the time (Clock.Now) until which the view counts as complete.
+func (g *Gateway) changesShownUntil() lovageshift.Millis {
+	now := g.clock.Now()
+	return min(now, now-g.tracker.ViewAge()+maxVersionsAge)
+}
