Ask a target whose connections were lost whether it has restarted

Cause: a lost connection counted as a possible restart until a record of another incarnation must have arrived, whatever the target did meanwhile; and as a cold start, so that new requests got fewer slots, too. Kind of fault: doubt that nothing can end but time, though the one that is doubted can be asked.

Change: an entry asks such an engine for its report, which names the start of its incarnation and takes no slot. The same start, in an answer to a question sent after the loss, ends the doubt and the assumption of cold. At most one question a second for each target and entry; a target that answers nothing is doubted as before. A stream that began meanwhile is bound to its version with a later event.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return g.crashes.run(ctx) })
+	tasks.Go(func() error { return g.checkIncarnations(ctx) })
 	tasks.Go(func() error { return g.runPeriodicTasks(ctx) })
 	return tasks.Wait()
 }
--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -64,6 +64,8 @@
 	slots, events int
 	// endsWithConnection makes the answers end with their connections.
 	endsWithConnection bool
+	// noReport makes targets answer no question for their report.
+	noReport bool
 }
 
 // newInstallation starts the entries and the targets, each with 4 slots and streams of some events, and waits until the
@@ -192,7 +194,7 @@
 	}
 	h.replica = &standin.Replica{
 		ID: fmt.Sprintf("i-%d", number), Service: "pool", Slots: max(options.slots, 4), EventCount: max(options.events, 4), EventInterval: 10 * time.Millisecond,
-		CrashesOn: options.crashes, EndsWithConnection: options.endsWithConnection,
+		CrashesOn: options.crashes, EndsWithConnection: options.endsWithConnection, NoReport: options.noReport,
 		OnCrash: func() {
 			if options.silent {
 				h.replica.Silence()
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -111,19 +111,21 @@
 }
 
 // bindRelease binds the request's stream to the software version of the target that sends its first event. If that may have
-// started again, its version is not known yet. This attempt does not go on with the stream then, a later one may.
+// started again, its version is not known yet, and each further event tries again. Until then this attempt does not go on with
+// the stream; a later one may.
 func (r *request) bindRelease(slot *placement.Slot) {
 	g := r.gateway
 	if r.hasRelease {
 		return
 	}
 	if now := g.clock.Now(); g.scheduler.MayHaveRestarted(now, slot) {
-		r.releaseUnknown = true
-		if r.route.Resumable {
+		if r.route.Resumable && !r.releaseUnknown {
 			r.decideLater(now, slot)
 		}
+		r.releaseUnknown = true
 		return
 	}
+	r.releaseUnknown = false
 	r.release, r.hasRelease = slot.Target.Version, true
 	r.job.Version, r.job.HasVersion = r.release, true
 	if r.route.Resumable {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -13,11 +13,13 @@
 
 // versionsInstallation returns an installation of three entries and of eight targets, half of which have another version of
 // their software than the others.
-func versionsInstallation() *installation {
-	return newInstallation(3, 8, targetOptions{
+func versionsInstallation() *installation { return newInstallation(3, 8, versionsOptions()) }
+
+func versionsOptions() targetOptions {
+	return targetOptions{
 		slots: 40, events: 30,
 		version: func(number int) string { return fmt.Sprintf("v%d", 1+number%2) },
-	})
+	}
 }
 
 // resumableStream is a stream that its caller took up again after it had left.
@@ -155,8 +157,8 @@
 // Streams that began at a target within 5 s after a connection to it was lost were never recorded, and refused for good.
 func TestStreamsGoOnThatBeganAfterConnectionsWereLost(t *testing.T) {
 	const count = 60
-	Convey("Streams that began while targets may have restarted go on once it is known that these did not", t, func() {
-		i := versionsInstallation()
+	play := func(options targetOptions, wait time.Duration) {
+		i := newInstallation(3, 8, options)
 		defer i.stop()
 		reset := time.AfterFunc(60*time.Millisecond, func() {
 			for _, h := range i.hosts {
@@ -167,10 +169,18 @@
 		i.beginStreams(count) // some of which are cut off
 		time.Sleep(100 * time.Millisecond)
 		streams := i.beginStreams(count)
-		time.Sleep(5500 * time.Millisecond)
+		time.Sleep(wait)
 		i.takeUp(streams)
 		wentOn, joined := i.count(streams)
 		So(joined, ShouldEqual, 0)
 		So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
+	}
+	Convey("Streams that began while targets may have restarted go on once it is known that these did not", t, func() {
+		options := versionsOptions()
+		options.noReport = true
+		play(options, 5500*time.Millisecond)
+	})
+	Convey("Streams go on soon after all connections were reset where targets show that they have not restarted", t, func() {
+		play(versionsOptions(), 200*time.Millisecond)
 	})
 }
--- /dev/null
+++ b/placement/incarnation.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"lovageshift"
+	"lovageshift/catalog"
+)
+
+// An engine that may have restarted is asked for its incarnation no more often than this.
+const incarnationCheckInterval lovageshift.Millis = 1000
+
+// Doubted returns the engines that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
+func (s *Scheduler) Doubted(now lovageshift.Millis) []*catalog.Target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var doubted []*catalog.Target
+	for _, t := range s.targets {
+		due := t.checkedAt == 0 || now-t.checkedAt >= incarnationCheckInterval
+		if t.service.Engine && t.mayHaveRestarted(now) && due {
+			t.checkedAt = now
+			doubted = append(doubted, t.Target)
+		}
+	}
+	return doubted
+}
+
+// ConfirmIncarnation records that the target's incarnation with the given start answered a question that was sent at askedAt.
+// So it had not ended with the connections that were lost before, and is no colder than it was.
+func (s *Scheduler) ConfirmIncarnation(now, askedAt lovageshift.Millis, id lovageshift.TargetID, born int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.targets[id]
+	if t == nil || t.Born != born || t.lostAt >= askedAt {
+		return
+	}
+	t.lostAt, t.lossColdUntil = 0, 0
+	s.assignService(now, t.Service)
+}
--- /dev/null
+++ b/placement/incarnation_test.go
@@ -0,0 +1,58 @@
+package placement_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"lovageshift/catalog"
+	"lovageshift/placement"
+)
+
+// TestTargetThatAnswersAfterLostConnectionsServesStreams guards against passing over, for seconds, a target that has lost its
+// connections but not restarted.
+func TestTargetThatAnswersAfterLostConnectionsServesStreams(t *testing.T) {
+	service := &catalog.Service{ID: pool, Engine: true, ColdPerSecond: 1, ColdMillis: 3000}
+	lose := func(list []*catalog.Target) *placement.Scheduler {
+		s := newScheduler(service, list...)
+		held := submit(s, 1, &placement.Job{})
+		s.Release(1000, held.Slot, placement.Result{Outcome: placement.ConnectionLost})
+		return s
+	}
+	resumes := func(s *placement.Scheduler) *submission {
+		job := &placement.Job{Resumes: true, HasVersion: true, Version: "v1", QueueDeadline: 100_000}
+		return submit(s, 1010, job)
+	}
+	newTargets := func() []*catalog.Target {
+		list := targets(1, 40)
+		list[0].Version, list[0].Born = "v1", 7
+		return list
+	}
+	Convey("A stream waits while its target may have restarted, and gets a slot once the target has shown that it has not", t, func() {
+		s := lose(newTargets())
+		waiting := resumes(s)
+		So(waiting.Slot, ShouldBeNil)
+		doubted := s.Doubted(1020)
+		So(doubted, ShouldHaveLength, 1)
+		s.ConfirmIncarnation(1025, 1020, doubted[0].ID, 7)
+		So(waiting.Slot, ShouldNotBeNil)
+		Convey("and is not taken for cold", func() {
+			for range 30 {
+				So(submit(s, 1030, &placement.Job{}).Slot, ShouldNotBeNil)
+			}
+		})
+	})
+	Convey("Neither another incarnation nor an answer to an earlier question shows that", t, func() {
+		s := lose(newTargets())
+		waiting := resumes(s)
+		s.ConfirmIncarnation(1025, 1020, "i-0", 8)
+		s.ConfirmIncarnation(1025, 1000, "i-0", 7)
+		So(waiting.Slot, ShouldBeNil)
+	})
+	Convey("A target is asked once in a while, not at each lost connection", t, func() {
+		s := lose(newTargets())
+		So(s.Doubted(1020), ShouldHaveLength, 1)
+		So(s.Doubted(1040), ShouldBeEmpty)
+		So(s.Doubted(2100), ShouldHaveLength, 1)
+	})
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -135,8 +135,8 @@
 		fresh := newTargetState(registered, service, s.averagesOf(service.ID))
 		if t != nil {
 			// The grants within coldWindow count for the new incarnation too, as those requests may have arrived at it,
-			// and so does maybeColdUntil.
-			fresh.grantTimes, fresh.maybeColdUntil = t.grantTimes, t.maybeColdUntil
+			// and so does the time until which it may be cold.
+			fresh.grantTimes, fresh.maybeColdUntil = t.grantTimes, max(t.maybeColdUntil, t.lossColdUntil)
 		}
 		t = fresh
 		s.targets[id] = t
--- a/placement/target.go
+++ b/placement/target.go
@@ -76,13 +76,16 @@
 	tokenMeasuredAt lovageshift.Millis
 	// averages is shared by the targets of the service.
 	averages *serviceAverages
-	// maybeColdUntil is the time until which the target may be cold although this entry's view does not say so: a
-	// connection to it failed or was lost, or another entry reported it as cold.
+	// maybeColdUntil and lossColdUntil are the times until which the target may be cold although this entry's view does not say
+	// so: another entry reported it as cold, and a connection to it failed or was lost.
 	maybeColdUntil lovageshift.Millis
+	lossColdUntil  lovageshift.Millis
 	limit          limitState
 	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
 	// then, and its new record may not have arrived.
 	lostAt lovageshift.Millis
+	// checkedAt is when the target was last asked for its incarnation, 0 for never.
+	checkedAt lovageshift.Millis
 	// grantTimes are the times at which this entry granted slots at the target, to its own requests and to other
 	// entries'. If the service has a ColdPerSecond, they are also recorded while the target is not known to be cold, as
 	// it may turn out to have been cold then. belowColdLimit drops those older than coldWindow.
@@ -130,7 +133,7 @@
 	return share * (1 - 0.5*float64(age)/float64(failureHalfLifeMillis))
 }
 
-// recordResult updates the target's backoff, maybeColdUntil and moving averages by how a request ended.
+// recordResult updates the target's backoff, lossColdUntil and moving averages by how a request ended.
 func (t *targetState) recordResult(now lovageshift.Millis, promptTokens lovageshift.Tokens, result Result) {
 	switch result.Outcome {
 	case Unreachable:
@@ -175,7 +178,7 @@
 // assumeCold treats the target as cold for its service's ColdMillis from the given time on, as the target may have
 // crashed and restarted without its new registration being known here yet.
 func (t *targetState) assumeCold(from lovageshift.Millis) {
-	t.maybeColdUntil = max(t.maybeColdUntil, from+t.service.ColdMillis)
+	t.lossColdUntil = max(t.lossColdUntil, from+t.service.ColdMillis)
 }
 
 // promptUnits returns the size to which the time to the first event is taken to be proportional: the prompt's length in
@@ -265,10 +268,10 @@
 	t.failureUpdated = now
 }
 
-// mayBeCold reports whether the target is cold according to this entry's view or may be cold by maybeColdUntil, so that
-// coldLimit applies. Without a ColdPerSecond of its service it never is.
+// mayBeCold reports whether the target is cold according to this entry's view or may be cold by maybeColdUntil or
+// lossColdUntil, so that coldLimit applies. Without a ColdPerSecond of its service it never is.
 func (t *targetState) mayBeCold(now lovageshift.Millis) bool {
-	return t.service.ColdPerSecond > 0 && now < max(t.ColdUntil, t.maybeColdUntil)
+	return t.service.ColdPerSecond > 0 && now < max(t.ColdUntil, t.maybeColdUntil, t.lossColdUntil)
 }
 
 // belowColdLimit reports whether this entry granted fewer than limit slots at the target within coldWindow.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -26,6 +26,9 @@
 	// EndsWithConnection makes the body of each answer end with its connection, without a length or chunks.
 	EndsWithConnection bool
 
+	// NoReport makes the replica answer a call for its report with status 404.
+	NoReport bool
+
 	// CrashesOn, if set, reports whether a request crashes the replica. The replica then begins its answer, calls OnCrash,
 	// which must be set too, and aborts the connection.
 	CrashesOn func(request *http.Request) bool
@@ -37,6 +40,7 @@
 	limit    string
 	silenced chan struct{} // closed when the answers that run now send nothing any more, nil before the first request
 	received []ReceivedRequest
+	born     int64 // of the last record
 }
 
 // ReplicaFault is what a replica does wrong when it answers.
@@ -143,6 +147,9 @@
 
 // Record returns the value of the replica's record in the store, to be encoded as JSON.
 func (r *Replica) Record(registration Registration) map[string]any {
+	r.mutex.Lock()
+	r.born = registration.Born
+	r.mutex.Unlock()
 	state := "ready"
 	if registration.Draining {
 		state = "draining"
@@ -172,6 +179,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == reportPath && r.NoReport {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if request.URL.Path == reportPath {
+		r.writeReport(w)
+		return
+	}
 	fault, executed := r.admit(request)
 	if limit := r.currentLimit(); limit != "" {
 		header.Set(HeaderLimit, limit)
@@ -218,6 +233,16 @@
 	r.stream(w, request, fault, silenced)
 }
 
+// reportPath is the path at which a replica describes itself.
+const reportPath = "/-/report"
+
+func (r *Replica) writeReport(w http.ResponseWriter) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"running":%d,"born":%d}`, r.running, r.born)
+}
+
 // abort ends an answer when its connection does if the replica is silenced, and its connection otherwise.
 func (r *Replica) abort(request *http.Request, silenced <-chan struct{}) {
 	select {
--- /dev/null
+++ b/upstream/report.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lovageshift/catalog"
+	"lovageshift/platform"
+)
+
+const (
+	// Timeout for asking a target for its report, from opening the connection on.
+	reportTimeout = 500 * time.Millisecond
+	// Largest report that is read, in bytes. A report lists the requests that run at the target.
+	maxReportBytes = 64 << 10
+)
+
+// Born asks the target, on a connection of its own, when its present incarnation started, and returns the wall time in
+// milliseconds since the Unix epoch.
+func Born(ctx context.Context, target *catalog.Target) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	c, err := dial(ctx, connKey{target.ID, target.Born, target.Address})
+	if err != nil {
+		return 0, trace.Wrap(ErrNotSent, "%v", err)
+	}
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	request := &Request{Method: http.MethodGet, URI: platform.ReportPath, Host: target.Address, Header: platform.ReportHeader(target.ID)}
+	request.Header.Set("Connection", "close")
+	if _, err := c.Write(encode(request)); err != nil {
+		return 0, trace.Wrap(ErrConnectionLost, "write: %v", err)
+	}
+	c.head.start()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	c.head.stop()
+	if err != nil {
+		return 0, headerError(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, trace.Wrap(ErrInvalidResponse, "status %d", response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return 0, trace.Wrap(ErrConnectionLost, "body: %v", err)
+	}
+	return platform.DecodeReport(body)
+}
