--- /dev/null
+++ b/discovery/odd_test.go
@@ -0,0 +1,103 @@
+package discovery_test
+
+import (
+	"strings"
+	"testing"
+)
+
+// changed returns the sound record with a part replaced.
+func changed(part, replacement string) string {
+	if !strings.Contains(soundRecord, part) {
+		panic("no such part: " + part)
+	}
+	return strings.Replace(soundRecord, part, replacement, 1)
+}
+
+// nested returns a JSON array of that depth.
+func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+
+// oddRecords are values under a target's key that name no target to use.
+var oddRecords = map[string]string{
+	"empty":                       "",
+	"no JSON":                     "\x00\xff\xfe",
+	"truncated":                   soundRecord[:40],
+	"an array":                    "[1]",
+	"null":                        "null",
+	"nested 9000 deep":            nested(9000),
+	"nested 200000 deep":          nested(200_000),
+	"a field nested 200000 deep":  changed(`"slots":4`, `"slots":`+nested(200_000)),
+	"another field nested":        changed(`"slots":4`, `"other":`+nested(200_000)),
+	"NaN":                         changed(`"slots":4`, `"slots":NaN`),
+	"text NaN":                    changed(`"slots":4`, `"slots":"NaN"`),
+	"port 0":                      changed(`10.0.0.1:80`, `10.0.0.1:0`),
+	"port 65536":                  changed(`10.0.0.1:80`, `10.0.0.1:65536`),
+	"port -1":                     changed(`10.0.0.1:80`, `10.0.0.1:-1`),
+	"port of 100 digits":          changed(`10.0.0.1:80`, `10.0.0.1:`+strings.Repeat("9", 100)),
+	"address unspecified":         changed(`10.0.0.1:80`, `0.0.0.0:80`),
+	"address unspecified IPv6":    changed(`10.0.0.1:80`, `[::]:80`),
+	"address unspecified mapped":  changed(`10.0.0.1:80`, `[::ffff:0.0.0.0]:80`),
+	"address multicast":           changed(`10.0.0.1:80`, `224.0.0.1:80`),
+	"address with a zone":         changed(`10.0.0.1:80`, `[fe80::1%eth0]:80`),
+	"address empty":               changed(`10.0.0.1:80`, ``),
+	"slots near the largest":      changed(`"slots":4`, `"slots":9223372036854775807`),
+	"slots a million":             changed(`"slots":4`, `"slots":1000000`),
+	"slots too large":             changed(`"slots":4`, `"slots":1e400`),
+	"slots negative":              changed(`"slots":4`, `"slots":-1`),
+	"slots a fraction":            changed(`"slots":4`, `"slots":4.5`),
+	"cold beyond an int64":        changed(`"slots":4`, `"cold_remaining_ms":1e300`),
+	"cold for a year":             changed(`"slots":4`, `"cold_remaining_ms":31536000000`),
+	"cold beyond a float":         changed(`"slots":4`, `"cold_remaining_ms":1e999`),
+	"sequence too large":          changed(`"seq":4`, `"seq":9223372036854775807`),
+	"sequence beyond an int64":    changed(`"seq":4`, `"seq":9223372036854775808`),
+	"sequence negative":           changed(`"seq":4`, `"seq":-4`),
+	"born in a far future":        changed(`1764900000000`, `9223372036854775807`),
+	"born negative":               changed(`1764900000000`, `-1`),
+	"service empty":               changed(`"pool"`, `""`),
+	"service under another case":  changed(`"service"`, `"SERVICE"`),
+	"zone empty":                  changed(`"zone-a"`, `""`),
+	"version of another type":     changed(`"v1"`, `{"v":1}`),
+	"version of a megabyte":       changed(`"v1"`, `"`+strings.Repeat("v", 1<<20)+`"`),
+	"state unknown":               changed(`"ready"`, `"resting"`),
+	"state named twice, odd last": changed(`"ready"`, `"ready","state":"resting"`),
+}
+
+// One odd record among those of the targets must hide none of the others, neither in a list nor in a change.
+func TestOddRecordNamesNoTarget(t *testing.T) {
+	cases := map[string]string{}
+	for name, value := range oddRecords {
+		cases["record: "+name] = rawItem("servers/odd", value, 3)
+	}
+	for name, item := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newRawStore(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2), item)
+			tracker := follow(t, store)
+			waitFor(t, tracker, "i-1")
+			store.write(rawTarget("i-2", 4))
+			waitFor(t, tracker, "i-1", "i-2")
+			store.write(item)
+			store.write(rawTarget("i-3", 6))
+			waitFor(t, tracker, "i-1", "i-2", "i-3")
+		})
+	}
+}
+
+// An odd record under a target's id names no target until the target writes again.
+func TestSoundRecordAfterAnOddOneCounts(t *testing.T) {
+	cases := map[string]string{}
+	for name, value := range oddRecords {
+		cases["record: "+name] = rawItem("servers/i-1", value, 3)
+	}
+	for name, item := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newRawStore(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2))
+			tracker := follow(t, store)
+			waitFor(t, tracker, "i-1")
+			store.write(item)
+			waitFor(t, tracker)
+			store.write(rawTarget("i-1", 4))
+			waitFor(t, tracker, "i-1")
+		})
+	}
+}
