Decode each item of the store's page by itself

What callers saw: beside one item whose value is a number, an object or no base64, or whose key, revision or "deleted" is of another type, an entry took over no change of any record, and a started one never had any.

Cause: the page was decoded as a whole, so that one such item made all of it undecodable, at each read.

Change: items are decoded one by one. Of one that can't be, key, revision and removal are kept where they can be read, and Item.Unreadable says why not: a target's id then names no target, the catalog in force is kept, a zone is out as its record exists.

--- a/discovery/odd_test.go
+++ b/discovery/odd_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -61,12 +62,41 @@
 	"state named twice, odd last": changed(`"ready"`, `"ready","state":"resting"`),
 }
 
+// oddItems are items of the store that name no target to use, for the key in %s.
+var oddItems = map[string]string{
+	"value a number":        `{"key":"%s","value":5,"revision":3}`,
+	"value an object":       `{"key":"%s","value":{},"revision":3}`,
+	"value no base64":       `{"key":"%s","value":"***","revision":3}`,
+	"value without padding": `{"key":"%s","value":"eyJ9","revision":3}`,
+	"value missing":         `{"key":"%s","revision":3}`,
+	"value null":            `{"key":"%s","value":null,"revision":3}`,
+	"revision a text":       `{"key":"%s","value":"","revision":"3"}`,
+	"revision too large":    `{"key":"%s","value":"","revision":1e30}`,
+	"deleted a text":        `{"key":"%s","value":"","revision":3,"deleted":"no"}`,
+}
+
 // One odd record among those of the targets must hide none of the others, neither in a list nor in a change.
 func TestOddRecordNamesNoTarget(t *testing.T) {
 	cases := map[string]string{}
 	for name, value := range oddRecords {
 		cases["record: "+name] = rawItem("servers/odd", value, 3)
 	}
+	for name, item := range oddItems {
+		cases["item: "+name] = fmt.Sprintf(item, "servers/odd")
+	}
+	for name, item := range map[string]string{
+		"a number": `7`, "null": `null`, "a text": `"servers/odd"`, "an array": `[]`, "key a number": `{"key":5,"value":"","revision":3}`,
+		"key missing": `{"value":"","revision":3}`, "key null": `{"key":null,"value":"","revision":3}`,
+		"id empty":                rawItem("servers/", soundRecord, 3),
+		"id of control bytes":     rawItem("servers/", soundRecord, 3)[:16] + `\u0000\r\nX: y` + rawItem("servers/", soundRecord, 3)[16:],
+		"id that is not UTF-8":    `{"key":"servers/` + "\xff\xfe" + `",` + rawItem("servers/", soundRecord, 3)[len(`{"key":"servers/",`):],
+		"id of 5000 bytes":        rawItem("servers/"+strings.Repeat("i", 5000), soundRecord, 3),
+		"a service nobody has":    rawItem("servers/odd", changed(`"pool"`, `"nobody"`), 3),
+		"a zone with an odd name": `{"key":"op/evacuate/\u0000/../zone-a","value":5,"revision":3}`,
+		"a zone without a name":   `{"key":"op/evacuate/","value":5,"revision":3}`,
+	} {
+		cases["item: "+name] = item
+	}
 	for name, item := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -88,6 +118,9 @@
 	for name, value := range oddRecords {
 		cases["record: "+name] = rawItem("servers/i-1", value, 3)
 	}
+	for name, item := range oddItems {
+		cases["item: "+name] = fmt.Sprintf(item, "servers/i-1")
+	}
 	for name, item := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"github.com/gravitational/trace"
+
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/platform"
@@ -134,7 +136,7 @@
 		r.addChange(Change{Kind: "catalogKept", Detail: "the record was removed"})
 		return
 	}
-	decoded, err := platform.DecodeCatalog(item.Value)
+	decoded, err := decodeCatalog(item)
 	r.catalogUnreadable = err != nil
 	if err != nil {
 		r.addChange(Change{Kind: "catalogKept", Detail: err.Error()})
@@ -147,6 +149,13 @@
 	r.addChange(Change{Kind: "catalog"})
 }
 
+func decodeCatalog(item platform.Item) (*catalog.Catalog, error) {
+	if item.Unreadable != "" {
+		return nil, trace.BadParameter("%s", item.Unreadable)
+	}
+	return platform.DecodeCatalog(item.Value)
+}
+
 // applyTarget applies a target's record unless one of a later incarnation, or of the same incarnation with a higher
 // Sequence, was applied before. A malformed record removes the target.
 func (r *Records) applyTarget(now, storeBackAt lovageshift.Millis, id lovageshift.TargetID, item platform.Item) {
@@ -154,7 +163,7 @@
 		r.removeTarget(now, storeBackAt, id)
 		return
 	}
-	target, err := platform.DecodeTarget(string(id), item.Value)
+	target, err := decodeTarget(id, item)
 	if err != nil {
 		r.addChange(Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
 		r.dropTarget(now, id)
@@ -198,6 +207,13 @@
 	}
 }
 
+func decodeTarget(id lovageshift.TargetID, item platform.Item) (*catalog.Target, error) {
+	if item.Unreadable != "" {
+		return nil, trace.Wrap(platform.ErrInvalidTarget, "%s", item.Unreadable)
+	}
+	return platform.DecodeTarget(string(id), item.Value)
+}
+
 // recordsDiffer reports whether a target's new record differs from the known state of the same incarnation in a field
 // other than Sequence and ColdUntil.
 func recordsDiffer(known, target *catalog.Target) bool {
--- a/discovery/restored.go
+++ b/discovery/restored.go
@@ -42,7 +42,7 @@
 	}
 	id := lovageshift.TargetID(name)
 	last, wasRemoved := r.gone[id]
-	target, err := platform.DecodeTarget(name, item.Value)
+	target, err := decodeTarget(id, item)
 	if !wasRemoved || err != nil || target.Born > last.born || target.Born == last.born && target.Sequence > last.sequence {
 		return false
 	}
