Take no target for removed that a list without an end did not reach

What callers saw: if the pages of the list of records do not go on, or are more than 64, the targets beyond count as removed. An item without a readable key at the end of a page began the list again, up to 64 times.

Change: the list goes on after the last key that can be read, and ends where the store gives none beyond it. Such a list removes only what it would have to hold; the rest stays as it was, and "storeListCut" is logged.

Evidence: TestListThatNeverEndsRemovesNoTarget lost a target before, also at the level of the store's bytes.

--- a/discovery/odd_test.go
+++ b/discovery/odd_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // changed returns the sound record with a part replaced.
@@ -134,3 +136,14 @@
 		})
 	}
 }
+
+// A list whose pages never end must not take the targets that it lacks for removed.
+func TestListThatNeverEndsRemovesNoTarget(t *testing.T) {
+	store := newRawStore(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2), rawTarget("i-2", 3))
+	tracker := follow(t, store)
+	waitFor(t, tracker, "i-1", "i-2")
+	store.cutList(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2))
+	store.spoilWatches(http.StatusGone)
+	time.Sleep(2500 * time.Millisecond)
+	waitFor(t, tracker, "i-1", "i-2")
+}
--- a/discovery/rawstore_test.go
+++ b/discovery/rawstore_test.go
@@ -27,9 +27,7 @@
 	events   []string // the event at index i is that of revision i+1
 	changed  chan struct{}
 	endless  bool // a range always has more
-	watches  int
-	ranges   int
-	spoilt   bool // watches are answered with bytes that are no page
+	spoilt   int  // status with which watches are answered, and bytes that are no page; 0 if they are served
 	stopped  chan struct{}
 	stopOnce sync.Once
 }
@@ -68,21 +66,37 @@
 	s.changed = make(chan struct{})
 }
 
+// cutList makes a range return these items only, and say each time that there are more.
+func (s *rawStore) cutList(items ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.items, s.endless = items, true
+}
+
+// spoilWatches answers watches with the status and bytes that are no page, also those that wait.
+func (s *rawStore) spoilWatches(status int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.spoilt = status
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *rawStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/kv-range" {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		s.ranges++
 		_, _ = fmt.Fprintf(w, `{"items":[%s],"has_more":%t,"as_of":%d}`, strings.Join(s.items, ","), s.endless, len(s.events))
 		return
 	}
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	for {
 		s.mutex.Lock()
-		s.watches++
 		events, changed, spoilt := s.events, s.changed, s.spoilt
 		s.mutex.Unlock()
-		if spoilt {
+		if spoilt != 0 {
+			time.Sleep(10 * time.Millisecond)
+			w.WriteHeader(spoilt)
 			_, _ = w.Write([]byte(`{"events":{`))
 			return
 		}
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -25,40 +25,66 @@
 	errOlderEra = errors.New("the store's response is from an era before")
 )
 
-// readPages returns the records of the first maxPages pages in the store, and the store position of the first page.
-func readPages(ctx context.Context, store Store, address string) ([]platform.Item, lovageshift.StorePosition, error) {
-	var items []platform.Item
-	var position lovageshift.StorePosition
-	after := ""
+// listing is a list of the store's records, read in pages.
+type listing struct {
+	items []platform.Item
+	// position is the store position of the first page.
+	position lovageshift.StorePosition
+	// isPart is set if the list ends after the key through although the store said that it has more.
+	isPart  bool
+	through string
+}
+
+// covers reports whether a record with the key would be in the list.
+func (l listing) covers(key string) bool { return !l.isPart || key <= l.through }
+
+// readPages returns the records of the first maxPages pages in the store, or of those before a page that does not go on after
+// the page before it.
+func readPages(ctx context.Context, store Store, address string) (listing, error) {
+	list := listing{isPart: true}
 	for pageNumber := range maxPages {
-		page, err := store.Range(ctx, address, after)
+		page, err := store.Range(ctx, address, list.through)
 		if err != nil {
-			return nil, position, err
+			return list, err
 		}
 		if pageNumber == 0 {
-			position = page.Position
+			list.position = page.Position
 		}
-		if page.Position.Era != position.Era {
-			return nil, position, errNewEra
+		if page.Position.Era != list.position.Era {
+			return list, errNewEra
 		}
-		items = append(items, page.Items...)
+		list.items = append(list.items, page.Items...)
+		last := lastKey(page.Items)
 		if !page.More || len(page.Items) == 0 {
-			break
+			list.isPart = false
+			return list, nil
+		}
+		if last <= list.through {
+			return list, nil
 		}
-		after = page.Items[len(page.Items)-1].Key
+		list.through = last
 	}
-	return items, position, nil
+	return list, nil
+}
+
+// lastKey returns the last of the keys, "" if none could be read.
+func lastKey(items []platform.Item) string {
+	last := ""
+	for _, item := range items {
+		last = max(last, item.Key)
+	}
+	return last
 }
 
 // ReadView reads all records once. It returns the view that a newly started entry would publish and the changes that
 // the entry would log. The view's Catalog is nil if the store holds no valid catalog.
 func ReadView(ctx context.Context, store Store, address string) (*catalog.View, []Change, error) {
-	items, _, err := readPages(ctx, store, address)
+	list, err := readPages(ctx, store, address)
 	if err != nil {
 		return nil, nil, err
 	}
 	records := NewRecords()
-	records.Replace(0, 0, items)
+	records.Replace(0, 0, list.items)
 	return records.View(0), records.Changes(), nil
 }
 
@@ -67,10 +93,11 @@
 // is the position of the local copy.
 func (t *Tracker) readAll(ctx context.Context, before lovageshift.StorePosition) (lovageshift.StorePosition, error) {
 	sentAt := t.clock.SinceBoot()
-	items, position, err := readPages(ctx, t.store, t.address())
+	list, err := readPages(ctx, t.store, t.address())
 	if err != nil {
 		return before, err
 	}
+	position := list.position
 	if isOlderEra(position, before) {
 		return before, errOlderEra
 	}
@@ -78,9 +105,12 @@
 	now := t.clock.Now()
 	if before.Revision > 0 && position.Era != before.Era {
 		t.storeBackAt = now
-		t.records.Restore(now, items)
+		t.records.restore(now, list)
 	} else {
-		t.records.Replace(now, t.storeBackAt, items)
+		t.records.replace(now, t.storeBackAt, list)
+	}
+	if list.isPart {
+		t.log.Info("storeListCut", "records", len(list.items), "through", list.through)
 	}
 	t.publish()
 	t.setPosition(position, sentAt)
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -84,29 +84,34 @@
 // the list counts as removed, and a zone that is not in the list as back in service. If the list has no catalog, the
 // current one stays. The parameter storeBackAt is as in Apply.
 func (r *Records) Replace(now, storeBackAt lovageshift.Millis, items []platform.Item) {
-	for _, item := range items {
+	r.replace(now, storeBackAt, listing{items: items})
+}
+
+func (r *Records) replace(now, storeBackAt lovageshift.Millis, list listing) {
+	for _, item := range list.items {
 		r.Apply(now, storeBackAt, item)
 	}
-	for _, zone := range r.missing(now, storeBackAt, items) {
+	for _, zone := range r.missing(now, storeBackAt, list) {
 		r.restoreZone(now, zone)
 	}
 }
 
-// missing handles the targets that a complete list of the records lacks as removed, and returns the availability zones out of
-// service that it lacks.
-func (r *Records) missing(now, storeBackAt lovageshift.Millis, items []platform.Item) []lovageshift.ZoneID {
+// missing handles the targets that a list of the records lacks, as far as it covers them, as removed, and returns the
+// availability zones out of service that it lacks.
+func (r *Records) missing(now, storeBackAt lovageshift.Millis, list listing) []lovageshift.ZoneID {
 	listed := map[string]bool{}
-	for _, item := range items {
+	for _, item := range list.items {
 		listed[item.Key] = true
 	}
+	lacks := func(key string) bool { return !listed[key] && list.covers(key) }
 	for id := range r.targets {
-		if !listed[platform.TargetKey(id)] {
+		if lacks(platform.TargetKey(id)) {
 			r.removeTarget(now, storeBackAt, id)
 		}
 	}
 	var zones []lovageshift.ZoneID
 	for zone := range r.zonesOut {
-		if !listed[platform.ZoneOutKey(zone)] {
+		if lacks(platform.ZoneOutKey(zone)) {
 			zones = append(zones, zone)
 		}
 	}
--- a/discovery/restored.go
+++ b/discovery/restored.go
@@ -19,17 +19,21 @@
 // that was removed stays so unless it writes a record, and a zone out of service stays so unless the operator writes of it.
 // A target that the list lacks lapses, as after an outage. The catalog changes only to a newer version.
 func (r *Records) Restore(now lovageshift.Millis, items []platform.Item) {
+	r.restore(now, listing{items: items})
+}
+
+func (r *Records) restore(now lovageshift.Millis, list listing) {
 	r.restored = restored{
 		settleAt: now + restoreGraceMillis,
 		held:     map[lovageshift.TargetID]platform.Item{},
 		zones:    map[lovageshift.ZoneID]bool{},
 	}
-	for _, item := range items {
+	for _, item := range list.items {
 		if !r.hold(item) {
 			r.Apply(now, now, item)
 		}
 	}
-	for _, zone := range r.missing(now, now, items) {
+	for _, zone := range r.missing(now, now, list) {
 		r.restored.zones[zone] = true
 	}
 }
