Read all records after changes that are no page

What callers saw: nothing, it was found by reading: a watch whose response can't be decoded, or is cut at the most bytes that are read of one, was repeated from the same revision for good, and no change was followed.

Change: after ErrInvalidPage the list of all records is read, whose pages are bounded.

Evidence: TestUnreadableChangesAreReadAsAList failed before.

--- a/discovery/odd_test.go
+++ b/discovery/odd_test.go
@@ -147,3 +147,13 @@
 	time.Sleep(2500 * time.Millisecond)
 	waitFor(t, tracker, "i-1", "i-2")
 }
+
+// Changes that can't be read as a whole, or are too many to be read at once, are in the list of all records.
+func TestUnreadableChangesAreReadAsAList(t *testing.T) {
+	store := newRawStore(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2))
+	tracker := follow(t, store)
+	waitFor(t, tracker, "i-1")
+	store.spoilWatches(http.StatusOK)
+	store.write(rawTarget("i-2", 3), rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2), rawTarget("i-2", 3))
+	waitFor(t, tracker, "i-1", "i-2")
+}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -168,6 +168,9 @@
 	if errors.Is(err, errNewEra) {
 		return false
 	}
+	if errors.Is(err, platform.ErrInvalidPage) {
+		wasWatch = false // the changes that can't be read or are too many are in the list
+	}
 	wait := backoffMinMillis + lovageshift.Millis(rand.Int64N(int64(backoffMaxMillis-backoffMinMillis)))
 	lovageshift.Pause(ctx, wait.Duration())
 	return wasWatch
