Let the store's order of writes decide which record of a target is newer

What callers saw: nothing, it was found by reading. A record that another writer left under a target's id, with a start in the future or a large sequence, was newer than all that the target wrote afterwards, for good.

Cause: records were ordered by "born" and "seq" alone, which any writer may choose.

Change: an entry keeps the store's revision of each target's record; the higher revision counts. Records that a reader sends are their last state up to the revision that it sends. Start and sequence decide only where revisions say nothing: between a store's era and the one before. A delayed write of an incarnation before counts until the next record.

Evidence: odd_test.go at the level of the store's bytes, 4 cases, and in virtual time at 3, 30 and 103 entries; after a return of the store at 3 and 30.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -112,6 +112,7 @@
 	}
 	for _, item := range changes.Items {
 		if maySend(item) {
+			item.Revision = changes.To // readers send the last state up to there, without its own revision
 			t.records.Apply(now, t.storeBackAt, item)
 		}
 	}
--- a/discovery/odd_test.go
+++ b/discovery/odd_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -114,7 +115,8 @@
 	}
 }
 
-// An odd record under a target's id names no target until the target writes again.
+// An odd record under a target's id names no target until the target writes again, and is not newer than what it writes then,
+// whatever the odd record's sequence and start.
 func TestSoundRecordAfterAnOddOneCounts(t *testing.T) {
 	cases := map[string]string{}
 	for name, value := range oddRecords {
@@ -135,6 +137,25 @@
 			waitFor(t, tracker, "i-1")
 		})
 	}
+	for name, value := range map[string]string{
+		"later start":                     changed(`1764900000000`, `4000000000000`),
+		"later sequence":                  changed(`"seq":4`, `"seq":4000000000`),
+		"later start and another service": strings.Replace(changed(`1764900000000`, `4000000000000`), `"pool"`, `"nobody"`, 1),
+		"later sequence and draining":     strings.Replace(changed(`1764900000000`, `4000000000000`), `"ready"`, `"draining"`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newRawStore(rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2))
+			tracker := follow(t, store)
+			waitFor(t, tracker, "i-1")
+			store.write(rawItem("servers/i-1", strings.Replace(value, "10.0.0.1", "10.0.0.9", 1), 3))
+			store.write(rawTarget("i-2", 4))
+			waitForTarget(t, tracker, "i-2", "10.0.0.1:80")
+			store.write(rawTarget("i-1", 5))
+			waitForTarget(t, tracker, "i-1", "10.0.0.1:80")
+			waitFor(t, tracker, "i-1", "i-2")
+		})
+	}
 }
 
 // A list whose pages never end must not take the targets that it lacks for removed.
@@ -157,3 +178,53 @@
 	store.write(rawTarget("i-2", 3), rawItem("op/config", soundCatalog, 1), rawTarget("i-1", 2), rawTarget("i-2", 3))
 	waitFor(t, tracker, "i-1", "i-2")
 }
+
+// An entry that gets changes from a reader has no revision of each record, and an odd record must not be newer there either.
+func TestSoundRecordFromAReaderCounts(t *testing.T) {
+	for _, count := range []int{3, 30, 103} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReadersAndFollowers(count, 0.1)
+				defer r.stop()
+				time.Sleep(4 * time.Second)
+				r.store.write(targetItem(5))
+				time.Sleep(2 * time.Second)
+				r.store.write(targetItem(4_000_000_000_000, sequence(1<<50), draining))
+				time.Sleep(2 * time.Second)
+				r.store.write(targetItem(5, sequence(2)))
+				time.Sleep(2 * time.Second)
+				if differing := r.differing(t); differing > 0 {
+					t.Errorf("%d of %d entries have not the target's record", differing, count)
+				}
+			})
+		})
+	}
+}
+
+// The revisions of a store that has come back from an older copy say nothing of those before.
+func TestOddRecordOfTheEraBeforeIsNotNewer(t *testing.T) {
+	for _, count := range []int{3, 30} {
+		t.Run(fmt.Sprintf("%d entries", count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newReadersAndFollowers(count, 0.1)
+				defer r.stop()
+				time.Sleep(4 * time.Second)
+				r.store.write(targetItem(5))
+				time.Sleep(2 * time.Second)
+				copiedAt := time.Now()
+				for range 50 {
+					r.store.write(targetItem(4_000_000_000_000, sequence(1<<50)))
+				}
+				time.Sleep(2 * time.Second)
+				r.store.leave()
+				r.store.restore(copiedAt)
+				time.Sleep(500 * time.Millisecond)
+				r.store.write(targetItem(5, sequence(2)))
+				time.Sleep(6 * time.Second)
+				if differing := r.differing(t); differing > 0 {
+					t.Errorf("%d of %d entries have not the target's record", differing, count)
+				}
+			})
+		})
+	}
+}
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -107,6 +107,9 @@
 		t.storeBackAt = now
 		t.records.restore(now, list)
 	} else {
+		if position.Older(before) {
+			t.records.forgetRevisions()
+		}
 		t.records.replace(now, t.storeBackAt, list)
 	}
 	if list.isPart {
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -38,6 +38,9 @@
 	catalog  *catalog.Catalog
 	targets  map[lovageshift.TargetID]*catalog.Target
 	zonesOut map[lovageshift.ZoneID]bool
+	// revisions holds the store's revision, in its present era, of what is known of each target's record, where it is known:
+	// that of the record or a later one before the next change of the record. It is 0 if the record is of an era before.
+	revisions map[lovageshift.TargetID]int64
 	// draining holds the incarnations that announced their shutdown, each with the time at which its last draining record
 	// was applied. No other record of such an incarnation puts it back into use.
 	draining map[incarnation]lovageshift.Millis
@@ -73,6 +76,7 @@
 	return &Records{
 		targets:        map[lovageshift.TargetID]*catalog.Target{},
 		zonesOut:       map[lovageshift.ZoneID]bool{},
+		revisions:      map[lovageshift.TargetID]int64{},
 		draining:       map[incarnation]lovageshift.Millis{},
 		lapsed:         map[lovageshift.TargetID]lovageshift.Millis{},
 		zoneReturnedAt: map[lovageshift.ZoneID]lovageshift.Millis{},
@@ -161,8 +165,9 @@
 	return platform.DecodeCatalog(item.Value)
 }
 
-// applyTarget applies a target's record unless one of a later incarnation, or of the same incarnation with a higher
-// Sequence, was applied before. A malformed record removes the target.
+// applyTarget applies a target's record unless a later one was applied before: one with a higher revision of the store or,
+// where a revision is not known, one of a later incarnation or of the same incarnation with a higher Sequence. A malformed
+// record removes the target.
 func (r *Records) applyTarget(now, storeBackAt lovageshift.Millis, id lovageshift.TargetID, item platform.Item) {
 	if item.Deleted {
 		r.removeTarget(now, storeBackAt, id)
@@ -175,19 +180,15 @@
 		return
 	}
 	known := r.targets[id]
-	if known != nil && known.Born > target.Born {
-		return
-	}
 	same := known != nil && known.Born == target.Born
 	if same {
 		delete(r.lapsed, id)
 	}
-	// A record that was already applied does not change the target. In particular it must not restart the cold period of a
-	// target that has warmed up.
-	if same && target.Sequence <= known.Sequence && !recordsDiffer(known, target) {
-		return
+	outdated := known != nil && r.isOutdated(known, target, item.Revision)
+	if item.Revision > 0 {
+		r.revisions[id] = max(r.revisions[id], item.Revision)
 	}
-	if same && target.Sequence < known.Sequence {
+	if outdated {
 		return
 	}
 	inc := incarnation{id, target.Born}
@@ -219,6 +220,24 @@
 	return platform.DecodeTarget(string(id), item.Value)
 }
 
+// isOutdated reports whether the record adds nothing to the known state of the target. The store's revision decides where it
+// is known, as another writer may have written any start and any sequence under the target's id.
+func (r *Records) isOutdated(known, target *catalog.Target, revision int64) bool {
+	same := known.Born == target.Born
+	// A record that was already applied does not change the target. In particular it must not restart the cold period of a
+	// target that has warmed up.
+	if same && target.Sequence <= known.Sequence && !recordsDiffer(known, target) {
+		return true
+	}
+	if knownRevision, found := r.revisions[target.ID]; found && revision > 0 {
+		return revision <= knownRevision
+	}
+	return known.Born > target.Born || same && target.Sequence < known.Sequence
+}
+
+// forgetRevisions prepares the local copy for records of a new era, or of a store whose revisions have gone back.
+func (r *Records) forgetRevisions() { clear(r.revisions) }
+
 // recordsDiffer reports whether a target's new record differs from the known state of the same incarnation in a field
 // other than Sequence and ColdUntil.
 func recordsDiffer(known, target *catalog.Target) bool {
@@ -248,6 +267,7 @@
 func (r *Records) dropTarget(now lovageshift.Millis, id lovageshift.TargetID) {
 	if target := r.targets[id]; target != nil {
 		delete(r.targets, id)
+		delete(r.revisions, id)
 		r.gone[id] = goneTarget{born: target.Born, sequence: target.Sequence, at: now}
 		r.addChange(Change{Kind: "targetGone", Target: id, Zone: target.Zone})
 	}
--- a/discovery/restored.go
+++ b/discovery/restored.go
@@ -8,7 +8,8 @@
 // restored is what a return of the store from an older copy has left open until the time settleAt (Clock.Now).
 type restored struct {
 	settleAt lovageshift.Millis
-	// held are the records of targets that had been removed before the store returned.
+	// held are the records of targets that had been removed before the store returned, and those that seem older than what was
+	// known of the target.
 	held map[lovageshift.TargetID]platform.Item
 	// zones are the availability zones out of service of which the store has no record.
 	zones map[lovageshift.ZoneID]bool
@@ -28,9 +29,16 @@
 		held:     map[lovageshift.TargetID]platform.Item{},
 		zones:    map[lovageshift.ZoneID]bool{},
 	}
+	r.forgetRevisions()
 	for _, item := range list.items {
 		if !r.hold(item) {
 			r.Apply(now, now, item)
+			r.holdOutdated(item)
+		}
+	}
+	for id := range r.targets {
+		if _, listed := r.revisions[id]; !listed {
+			r.revisions[id] = 0 // older than any record of the new era
 		}
 	}
 	for _, zone := range r.missing(now, now, list) {
@@ -54,6 +62,19 @@
 	return true
 }
 
+// holdOutdated keeps the record of a target of which another one is known, after Apply.
+func (r *Records) holdOutdated(item platform.Item) {
+	record, name := platform.Classify(item.Key)
+	id := lovageshift.TargetID(name)
+	known := r.targets[id]
+	if record != platform.RecordTarget || known == nil {
+		return
+	}
+	if target, err := decodeTarget(id, item); err == nil && (target.Born < known.Born || target.Sequence < known.Sequence) {
+		r.restored.held[id] = item
+	}
+}
+
 // settleRestored takes over what the store still has, or still lacks, restoreGraceMillis after its return. It reports
 // whether that changed a target or a zone.
 func (r *Records) settleRestored(now lovageshift.Millis) bool {
@@ -61,7 +82,8 @@
 		return false
 	}
 	changed := false
-	for _, item := range r.restored.held {
+	for id, item := range r.restored.held {
+		r.revisions[id] = 0
 		r.Apply(now, 0, item)
 		changed = true
 	}
