Note an odd record once, not at each read of it

What an operator saw: a line for each read of the same odd record, and none for an item without a readable key.

Change: an odd record is noted once until its key has one that can be used, or none; "itemSkipped" names items without a key.

Evidence: TestOddRecordIsNotedOnce failed before.

--- a/discovery/odd_test.go
+++ b/discovery/odd_test.go
@@ -7,6 +7,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"lovageshift/discovery"
+	"lovageshift/platform"
+	"lovageshift/standin"
 )
 
 // changed returns the sound record with a part replaced.
@@ -228,3 +232,29 @@
 		})
 	}
 }
+
+// A line of the log for each read of an odd record would hide the others.
+func TestOddRecordIsNotedOnce(t *testing.T) {
+	r := discovery.NewRecords()
+	odd := []platform.Item{
+		{Key: "servers/odd", Value: []byte("{")}, {Key: standin.ConfigKey, Value: []byte("{")}, {Unreadable: "the item has no key"},
+	}
+	notes := func(items []platform.Item) (count int) {
+		r.Replace(1000, storeBackLongAgo, items)
+		for _, change := range r.Changes() {
+			if change.Detail != "" {
+				count++
+			}
+		}
+		return count
+	}
+	for read, expected := range []int{3, 0, 0} {
+		if got := notes(odd); got != expected {
+			t.Errorf("read %d notes %d odd records, want %d", read, got, expected)
+		}
+	}
+	_ = notes([]platform.Item{catalogItem(4)})
+	if got := notes(odd); got != 3 {
+		t.Errorf("odd records after sound ones are noted %d times, want 3", got)
+	}
+}
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"maps"
+
 	"github.com/gravitational/trace"
 
 	"lovageshift"
@@ -55,6 +57,8 @@
 	gone map[lovageshift.TargetID]goneTarget
 	// restored is what the last return of the store from an older copy has left open.
 	restored restored
+	// odd holds the keys whose last record could not be used and is noted in a Change already.
+	odd map[string]bool
 	// changes are the changes since the last call of Changes.
 	changes []Change
 }
@@ -77,6 +81,7 @@
 		targets:        map[lovageshift.TargetID]*catalog.Target{},
 		zonesOut:       map[lovageshift.ZoneID]bool{},
 		revisions:      map[lovageshift.TargetID]int64{},
+		odd:            map[string]bool{},
 		draining:       map[incarnation]lovageshift.Millis{},
 		lapsed:         map[lovageshift.TargetID]lovageshift.Millis{},
 		zoneReturnedAt: map[lovageshift.ZoneID]lovageshift.Millis{},
@@ -108,6 +113,7 @@
 		listed[item.Key] = true
 	}
 	lacks := func(key string) bool { return !listed[key] && list.covers(key) }
+	maps.DeleteFunc(r.odd, func(key string, _ bool) bool { return lacks(key) })
 	for id := range r.targets {
 		if lacks(platform.TargetKey(id)) {
 			r.removeTarget(now, storeBackAt, id)
@@ -134,6 +140,17 @@
 	case platform.RecordZoneOut:
 		r.applyZone(now, lovageshift.ZoneID(name), item)
 	case platform.RecordOther:
+		if item.Key == "" {
+			r.noteOdd(item.Key, Change{Kind: "itemSkipped", Detail: item.Unreadable})
+		}
+	}
+}
+
+// noteOdd adds a change for a record that can't be used, unless one was added since the key last had one that can.
+func (r *Records) noteOdd(key string, change Change) {
+	if !r.odd[key] {
+		r.odd[key] = true
+		r.addChange(change)
 	}
 }
 
@@ -142,15 +159,16 @@
 func (r *Records) applyCatalog(item platform.Item) {
 	if item.Deleted {
 		r.catalogUnreadable = true
-		r.addChange(Change{Kind: "catalogKept", Detail: "the record was removed"})
+		r.noteOdd(item.Key, Change{Kind: "catalogKept", Detail: "the record was removed"})
 		return
 	}
 	decoded, err := decodeCatalog(item)
 	r.catalogUnreadable = err != nil
 	if err != nil {
-		r.addChange(Change{Kind: "catalogKept", Detail: err.Error()})
+		r.noteOdd(item.Key, Change{Kind: "catalogKept", Detail: err.Error()})
 		return
 	}
+	delete(r.odd, item.Key)
 	if r.catalog != nil && decoded.Version <= r.catalog.Version {
 		return
 	}
@@ -170,15 +188,17 @@
 // record removes the target.
 func (r *Records) applyTarget(now, storeBackAt lovageshift.Millis, id lovageshift.TargetID, item platform.Item) {
 	if item.Deleted {
+		delete(r.odd, item.Key)
 		r.removeTarget(now, storeBackAt, id)
 		return
 	}
 	target, err := decodeTarget(id, item)
 	if err != nil {
-		r.addChange(Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
+		r.noteOdd(item.Key, Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
 		r.dropTarget(now, id)
 		return
 	}
+	delete(r.odd, item.Key)
 	known := r.targets[id]
 	same := known != nil && known.Born == target.Born
 	if same {
