--- a/test.sh
+++ b/test.sh
@@ -30,9 +30,12 @@
 go test -count=1 -timeout 5m ./exchange -run TestMembershipAtScale -args -most 300
 go test -count=1 -timeout 5m ./stream -run "^$slow\$"
 
-# Fuzz the parsers of requests and of configurations for a fixed number of inputs.
+# Fuzz the parsers of requests, of configurations and of the store's records for a fixed number of inputs.
 go test ./entry -run '^$' -fuzz FuzzParseCompletion -fuzztime 3000x
 go test ./folder -run '^$' -fuzz FuzzMerge -fuzztime 3000x
+go test ./platform -run '^$' -fuzz '^FuzzDecodePage$' -fuzztime 3000x
+go test ./platform -run '^$' -fuzz '^FuzzDecodeTarget$' -fuzztime 3000x
+go test ./platform -run '^$' -fuzz '^FuzzDecodeCatalog$' -fuzztime 3000x
 
 # The known red tests: their results are printed only.
 awk '$1 == "test" {print $2, $3}' KNOWN-RED.txt 2>/dev/null | while read -r package name; do
