Do not take an entry's own absence for an outage of the store

What callers saw: DRAIN. An entry that the store could not be reached by for some seconds kept targets that had left meanwhile for 2 s more, as if their records had expired while the store was away for all. If it was a reader, all others did the same, also for targets that left within these 2 s, as readers tell the others since when the store is back.

Cause: an entry took its own failed calls for an outage of the store, and the others took its word.

Change: state updates carry for how long the store has answered the sender, and how long ago it did so last (fields 40 and 41 of EntryNews; 0 from earlier builds). If another entry's span covers the absence, it was the entry's own, or the reader's: what the list lacks is gone. The span may lack 0.9 s at either end, less than the failures after which the store counts as unreachable. Nothing else proves it: alone, all cut off, or among earlier builds, the grace stays. A return from an older copy is one for all. An entry whose first calls fail late in an outage now counts it from the last answer that anybody had; before, it dropped all targets. A target that is removed in the first 2 s of a process is removed.

--- /dev/null
+++ b/discovery/absence.go
@@ -0,0 +1,148 @@
+package discovery
+
+import (
+	"slices"
+
+	"lovageshift"
+)
+
+const (
+	// The store counts as having answered all the time if no two answers in a row are further apart than this: a reader gets
+	// the answer of a watch after watchMillis, and asks again after coalesceMillis.
+	maxContactGapMillis lovageshift.Millis = 2000
+	// Another entry's contact with the store covers an absence if it lacks no more of it than this, at either end. That is
+	// less than an outage of the store lasts (storeUnreachableMillis).
+	contactSlackMillis lovageshift.Millis = 900
+	// A contact of other entries is forgotten this long after its end.
+	contactRetentionMillis lovageshift.Millis = 10_000
+)
+
+// contact is a span of time (Clock.SinceBoot) in which the store answered again and again. It is empty if until is 0.
+type contact struct{ since, until lovageshift.Millis }
+
+// covers reports whether the store cannot have been away for all in the other span.
+func (c contact) covers(other contact) bool {
+	return c.until > 0 && c.since <= other.since+contactSlackMillis && c.until >= other.until-contactSlackMillis
+}
+
+func (c contact) overlaps(other contact) bool {
+	return c.since <= other.until && other.since <= c.until
+}
+
+// contacts are spans that do not overlap.
+type contacts []contact
+
+// add returns the contacts with another span, without those that ended before the time.
+func (cs contacts) add(added contact, forgetBefore lovageshift.Millis) contacts {
+	var kept contacts
+	for _, c := range cs {
+		switch {
+		case c.overlaps(added):
+			added = contact{min(c.since, added.since), max(c.until, added.until)}
+		case c.until >= forgetBefore:
+			kept = append(kept, c)
+		}
+	}
+	return append(kept, added)
+}
+
+// covers reports whether one of the contacts does.
+func (cs contacts) covers(other contact) bool {
+	return slices.ContainsFunc(cs, func(c contact) bool { return c.covers(other) })
+}
+
+// sinceContact returns the time since the store is known to have answered this entry or another one.
+func (t *Tracker) sinceContact() lovageshift.Millis {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.clock.SinceBoot() - max(t.contact.until, t.confirmedAt)
+}
+
+// noteContact records that the store has answered this entry, after an outage or not.
+func (t *Tracker) noteContact(wasUnreachable bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.clock.SinceBoot()
+	last := max(t.contact.until, t.confirmedAt)
+	if wasUnreachable {
+		t.absence = contact{since: last, until: now}
+	}
+	if wasUnreachable || now-t.contact.until > maxContactGapMillis {
+		t.contact.since = now
+	}
+	t.contact.until = now
+}
+
+// reportContact returns for how long the store has answered this entry, and how long ago it did so last. Both are 0 if it
+// has not lately.
+func (t *Tracker) reportContact() (answered, ago lovageshift.Millis) {
+	now := t.clock.SinceBoot()
+	if t.contact.until == 0 || now-t.contact.until > maxContactGapMillis {
+		return 0, 0
+	}
+	return now - t.contact.since, now - t.contact.until
+}
+
+// heardContact takes over another entry's contact with the store. The report was sent after sentAfter (Clock.SinceBoot) and
+// before now, so that the span is no longer than it was.
+func (t *Tracker) heardContact(sentAfter lovageshift.Millis, report Report) {
+	now := t.clock.SinceBoot()
+	heard := contact{since: now - report.Answered, until: sentAfter - report.AnsweredAgo}
+	if report.Answered > 0 && heard.since <= heard.until {
+		t.othersContacts = t.othersContacts.add(heard, now-contactRetentionMillis)
+	}
+}
+
+// settleAbsence ends the grace after an outage if other entries had the store's answers all the while: the store was not
+// away, but this entry or a reader was, and what the store lacks is gone.
+func (t *Tracker) settleAbsence() {
+	t.mutex.Lock()
+	absence := t.absence
+	isOwn := absence.until > 0 && !t.restoredLately() && t.othersContacts.covers(absence)
+	if isOwn {
+		t.absence = contact{}
+	}
+	t.mutex.Unlock()
+	if !isOwn {
+		return
+	}
+	t.log.Info("absenceWasOwn", "absentMillis", absence.until-absence.since)
+	t.storeBackAt = 0
+	if t.records.dropLapsed(t.clock.Now()) {
+		t.publish()
+	}
+}
+
+// restoredLately reports whether the store has lately come back from an older copy, which is a return for all.
+func (t *Tracker) restoredLately() bool {
+	return t.restoredAt > 0 && t.clock.Now()-t.restoredAt < restoreGraceMillis
+}
+
+// noteRestored records that the store has come back from an older copy.
+func (t *Tracker) noteRestored() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.restoredAt = t.clock.Now()
+	t.contact.since = t.contact.until
+	t.othersContacts, t.absence = nil, contact{}
+}
+
+// adoptStoreBack takes over for how long the store has been reachable again for a reader. In the era of the local copy, that
+// may prove to be the reader's own absence.
+func (t *Tracker) adoptStoreBack(ago lovageshift.Millis, isNewEra bool) {
+	back := t.clock.Now() - ago
+	if back <= t.storeBackAt || ago >= lapseGraceMillis {
+		return
+	}
+	t.storeBackAt = back
+	if isNewEra {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	until := t.clock.SinceBoot() - ago
+	if t.absence.until == 0 {
+		t.absence.since = until - storeUnreachableMillis
+	}
+	t.absence.until = until
+}
--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -15,6 +15,9 @@
 	// Age is the time since the last moment at which the store is known to have had nothing newer than Position. It includes
 	// time for which the VM was suspended. It is neverConfirmed if there was no confirmation.
 	Age lovageshift.Millis
+	// Answered is for how long the store has answered the entry without an outage, and AnsweredAgo how long ago it did so last.
+	// Answered is 0 if it has not lately, or an entry of an earlier build does not say.
+	Answered, AnsweredAgo lovageshift.Millis
 }
 
 // Report returns the present state of the local copy.
@@ -25,6 +28,7 @@
 	if t.confirmedAt != 0 {
 		report.Age = t.clock.SinceBoot() - t.confirmedAt
 	}
+	report.Answered, report.AnsweredAgo = t.reportContact()
 	return report
 }
 
@@ -34,6 +38,7 @@
 func (t *Tracker) Confirm(at lovageshift.Millis, report Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.heardContact(at+report.Age, report)
 	order := report.Position.Compare(t.position)
 	if order <= 0 && report.Catalog > t.catalog {
 		t.lostCatalog, t.lostCatalogAt = report.Catalog, t.clock.Now()
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -70,9 +70,7 @@
 		position = t.applyChanges(position, changes)
 	case <-timer.C:
 	}
-	if t.records.Expire(t.clock.Now()) {
-		t.publish()
-	}
+	t.expire()
 	return position
 }
 
@@ -93,6 +91,10 @@
 // store had nothing newer than the old position then, it had nothing newer than the new one.
 func (t *Tracker) applyChanges(position lovageshift.StorePosition, changes Changes) lovageshift.StorePosition {
 	to := lovageshift.StorePosition{Era: changes.Era, Revision: changes.To}
+	if changes.StoreBack > 0 {
+		t.adoptStoreBack(changes.StoreBack, changes.Era != position.Era)
+		t.settleAbsence()
+	}
 	switch {
 	case changes.Era == 0 && position.Era > 0: // a reader of an earlier build, which may have missed a new era
 		t.requestFetch()
@@ -107,9 +109,6 @@
 		return position
 	}
 	now := t.clock.Now()
-	if changes.StoreBack > 0 {
-		t.storeBackAt = max(t.storeBackAt, now-changes.StoreBack)
-	}
 	for _, item := range changes.Items {
 		if maySend(item) {
 			item.Revision = changes.To // readers send the last state up to there, without its own revision
--- a/discovery/memorystore_test.go
+++ b/discovery/memorystore_test.go
@@ -19,6 +19,7 @@
 	items    map[string]platform.Item
 	changed  chan struct{} // closed and replaced at each write
 	away     bool
+	dropped  int64 // revision up to which the history is no longer available
 	calls    int
 }
 
@@ -62,6 +63,20 @@
 	m.wake()
 }
 
+// comeBack ends an absence with all records.
+func (m *memoryStore) comeBack() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.away = false
+}
+
+// dropHistory makes all changes so far available as a list only.
+func (m *memoryStore) dropHistory() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.dropped = m.revision
+}
+
 // restore brings the store back from a copy as of the time, in a new era. It returns the last state of each record that was
 // written since then.
 func (m *memoryStore) restore(copiedAt time.Time) []platform.Item {
@@ -142,7 +157,7 @@
 	switch {
 	case m.away || era != m.era:
 		return platform.Page{}, nil, platform.ErrStoreRefused
-	case after > m.revision:
+	case after > m.revision || after < m.dropped:
 		return platform.Page{}, nil, platform.ErrHistoryGone
 	}
 	page := platform.Page{Position: lovageshift.StorePosition{Era: m.era, Revision: m.revision}}
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -105,6 +105,7 @@
 	now := t.clock.Now()
 	if before.Revision > 0 && position.Era != before.Era {
 		t.storeBackAt = now
+		t.noteRestored()
 		t.records.restore(now, list)
 	} else {
 		if position.Older(before) {
--- a/discovery/readers_test.go
+++ b/discovery/readers_test.go
@@ -30,6 +30,8 @@
 	stops    []context.CancelFunc // ends the tracker of the same index
 	loss     float64              // share of the messages between entries that are lost
 	sentKeys int                  // messages that held the catalog
+	isolated map[int]isolation    // entries that are cut off
+	earlier  int                  // entries from this index on do not report their contact with the store
 }
 
 const readers = 2
@@ -37,7 +39,7 @@
 func newReadersAndFollowers(count int, loss float64) *readersAndFollowers {
 	r := &readersAndFollowers{
 		store: newMemoryStore(), clock: lovageshift.NewVirtualClock(), loss: loss,
-		trackers: make([]*discovery.Tracker, count), stops: make([]context.CancelFunc, count),
+		isolated: map[int]isolation{}, earlier: count, trackers: make([]*discovery.Tracker, count), stops: make([]context.CancelFunc, count),
 	}
 	r.store.write(catalogItem(4))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -65,12 +67,12 @@
 		panic(err)
 	}
 	tracker := discovery.NewTracker(discovery.Options{
-		Store: r.store, Clock: r.clock, Metrics: counts, Address: func() string { return "" },
+		Store: &cutStore{r.store, func() isolation { return r.isolationOf(number) }}, Clock: r.clock, Metrics: counts, Address: func() string { return "" },
 	})
 	tracker.SetReader(func() bool { return number < readers }, func(changes discovery.Changes) {
 		r.countKeys(changes)
 		for other, receiver := range r.all() {
-			if other != number && !r.lost() {
+			if other != number && !r.lost() && r.linked(number, other) {
 				receiver.Receive(changes)
 			}
 		}
@@ -136,11 +138,14 @@
 // confirm passes the reports of the readers and of one other entry to all entries, as state updates do.
 func (r *readersAndFollowers) confirm() {
 	trackers := r.all()
-	senders := append([]*discovery.Tracker{trackers[rand.IntN(len(trackers))]}, trackers[:readers]...)
-	for _, sender := range senders {
+	for _, number := range []int{rand.IntN(len(trackers)), 0, 1} {
+		sender := trackers[number]
 		report := sender.Report()
-		for _, tracker := range trackers {
-			if tracker != sender && !r.lost() {
+		if number >= r.earlier {
+			report.Answered, report.AnsweredAgo = 0, 0
+		}
+		for other, tracker := range trackers {
+			if tracker != sender && !r.lost() && r.linked(number, other) {
 				tracker.Confirm(r.clock.SinceBoot()-report.Age, report)
 			}
 		}
--- a/discovery/records.go
+++ b/discovery/records.go
@@ -273,7 +273,7 @@
 	if target == nil {
 		return
 	}
-	if !target.Draining && now < storeBackAt+lapseGraceMillis {
+	if !target.Draining && storeBackAt > 0 && now < storeBackAt+lapseGraceMillis {
 		if _, pending := r.lapsed[id]; !pending {
 			r.lapsed[id] = storeBackAt + lapseGraceMillis
 			r.addChange(Change{Kind: "targetLapsed", Target: id, Zone: target.Zone})
@@ -283,6 +283,15 @@
 	r.dropTarget(now, id)
 }
 
+// dropLapsed removes the targets that have lapsed. It reports whether there were any.
+func (r *Records) dropLapsed(now lovageshift.Millis) bool {
+	changed := len(r.lapsed) > 0
+	for id := range r.lapsed {
+		r.dropTarget(now, id)
+	}
+	return changed
+}
+
 // dropTarget removes the target from the local copy at once.
 func (r *Records) dropTarget(now lovageshift.Millis, id lovageshift.TargetID) {
 	if target := r.targets[id]; target != nil {
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -74,6 +74,13 @@
 	// position was not, and lostCatalogAt when (Clock.Now) that was.
 	lostCatalog   lovageshift.Revision
 	lostCatalogAt lovageshift.Millis
+	// contact is the time in which the store has answered this entry, othersContacts the times in which it has answered others.
+	contact        contact
+	othersContacts contacts
+	// absence is the last outage of the store as seen here, empty once others had the store's answers in it.
+	absence contact
+	// restoredAt is when (Clock.Now) the store was seen to have come back from an older copy, 0 if it was not.
+	restoredAt lovageshift.Millis
 	// spread is the part of spreadMillis that applies to the next call to the store.
 	spread lovageshift.Millis
 	// fetch is set if a reader sent that there are changes to read from the store.
@@ -150,9 +157,7 @@
 // wasWatch tells whether the call was a watch. The result reports whether the next call may be a watch for the changes
 // since the last revision; otherwise all records have to be read.
 func (t *Tracker) finishCall(ctx context.Context, err error, wasWatch bool) bool {
-	if t.records.Expire(t.clock.Now()) {
-		t.publish()
-	}
+	t.expire()
 	if err == nil {
 		return true
 	}
@@ -176,6 +181,14 @@
 	return wasWatch
 }
 
+// expire applies what the time that has passed changes, and publishes it.
+func (t *Tracker) expire() {
+	t.settleAbsence()
+	if t.records.Expire(t.clock.Now()) {
+		t.publish()
+	}
+}
+
 // recordFailure marks the store as unreachable once calls have failed for longer than storeUnreachableMillis, since a
 // single failed call does not mean an outage.
 func (t *Tracker) recordFailure(err error) {
@@ -192,12 +205,15 @@
 // recordSuccess counts a successful call, ends the series of failures and marks the store as reachable.
 func (t *Tracker) recordSuccess() {
 	now := t.clock.Now()
-	if t.storeUnreachable {
+	wasAway := t.storeUnreachable || t.failingSince > 0 && t.sinceContact() > maxContactGapMillis
+	t.noteContact(wasAway)
+	if wasAway {
 		t.storeUnreachable = false
 		t.storeBackAt = now
 		t.log.Info("storeBack", "failingMillis", now-t.failingSince)
 	}
 	t.failingSince = 0
+	t.settleAbsence()
 	t.metrics.Add(metrics.StoreCalls, "answered", 1)
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -20,6 +20,7 @@
 	report := g.tracker.Report()
 	update.StoreEra, update.StoreRevision = report.Position.Era, report.Position.Revision
 	update.CatalogVersion, update.ViewAgeMillis = int64(report.Catalog), int64(report.Age)
+	update.StoreAnsweredMillis, update.StoreAnsweredAgoMillis = uint64(report.Answered), uint32(report.AnsweredAgo)
 	for hash, load := range g.scheduler.OwnRunning() {
 		update.Targets = append(update.Targets, uint32(hash))
 		update.Running = append(update.Running, uint32(load.Running))
@@ -90,6 +91,8 @@
 		Position: lovageshift.StorePosition{Era: update.StoreEra, Revision: update.StoreRevision},
 		Catalog:  lovageshift.Revision(update.CatalogVersion),
 		Age:      lovageshift.Millis(update.ViewAgeMillis),
+
+		Answered: lovageshift.Millis(update.StoreAnsweredMillis), AnsweredAgo: lovageshift.Millis(update.StoreAnsweredAgoMillis),
 	}
 }
 
