--- a/discovery/records.go
+++ b/discovery/records.go
@@ -1,6 +1,10 @@
 package discovery
 
 import (
+	"maps"
+
+	"github.com/gravitational/trace"
+
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/platform"
@@ -36,6 +40,9 @@
 	catalog  *catalog.Catalog
 	targets  map[lovageshift.TargetID]*catalog.Target
 	zonesOut map[lovageshift.ZoneID]bool
+	// revisions holds the store's revision, in its present era, of what is known of each target's record, where it is known:
+	// that of the record or a later one before the next change of the record. It is 0 if the record is of an era before.
+	revisions map[lovageshift.TargetID]int64
 	// draining holds the incarnations that announced their shutdown, each with the time at which its last draining record
 	// was applied. No other record of such an incarnation puts it back into use.
 	draining map[incarnation]lovageshift.Millis
@@ -50,6 +57,8 @@
 	gone map[lovageshift.TargetID]goneTarget
 	// restored is what the last return of the store from an older copy has left open.
 	restored restored
+	// odd holds the keys whose last record could not be used and is noted in a Change already.
+	odd map[string]bool
 	// changes are the changes since the last call of Changes.
 	changes []Change
 }
@@ -71,6 +80,8 @@
 	return &Records{
 		targets:        map[lovageshift.TargetID]*catalog.Target{},
 		zonesOut:       map[lovageshift.ZoneID]bool{},
+		revisions:      map[lovageshift.TargetID]int64{},
+		odd:            map[string]bool{},
 		draining:       map[incarnation]lovageshift.Millis{},
 		lapsed:         map[lovageshift.TargetID]lovageshift.Millis{},
 		zoneReturnedAt: map[lovageshift.ZoneID]lovageshift.Millis{},
@@ -82,29 +93,35 @@
 // the list counts as removed, and a zone that is not in the list as back in service. If the list has no catalog, the
 // current one stays. The parameter storeBackAt is as in Apply.
 func (r *Records) Replace(now, storeBackAt lovageshift.Millis, items []platform.Item) {
-	for _, item := range items {
+	r.replace(now, storeBackAt, listing{items: items})
+}
+
+func (r *Records) replace(now, storeBackAt lovageshift.Millis, list listing) {
+	for _, item := range list.items {
 		r.Apply(now, storeBackAt, item)
 	}
-	for _, zone := range r.missing(now, storeBackAt, items) {
+	for _, zone := range r.missing(now, storeBackAt, list) {
 		r.restoreZone(now, zone)
 	}
 }
 
-// missing handles the targets that a complete list of the records lacks as removed, and returns the availability zones out of
-// service that it lacks.
-func (r *Records) missing(now, storeBackAt lovageshift.Millis, items []platform.Item) []lovageshift.ZoneID {
+// missing handles the targets that a list of the records lacks, as far as it covers them, as removed, and returns the
+// availability zones out of service that it lacks.
+func (r *Records) missing(now, storeBackAt lovageshift.Millis, list listing) []lovageshift.ZoneID {
 	listed := map[string]bool{}
-	for _, item := range items {
+	for _, item := range list.items {
 		listed[item.Key] = true
 	}
+	lacks := func(key string) bool { return !listed[key] && list.covers(key) }
+	maps.DeleteFunc(r.odd, func(key string, _ bool) bool { return lacks(key) })
 	for id := range r.targets {
-		if !listed[platform.TargetKey(id)] {
+		if lacks(platform.TargetKey(id)) {
 			r.removeTarget(now, storeBackAt, id)
 		}
 	}
 	var zones []lovageshift.ZoneID
 	for zone := range r.zonesOut {
-		if !listed[platform.ZoneOutKey(zone)] {
+		if lacks(platform.ZoneOutKey(zone)) {
 			zones = append(zones, zone)
 		}
 	}
@@ -123,6 +140,17 @@
 	case platform.RecordZoneOut:
 		r.applyZone(now, lovageshift.ZoneID(name), item)
 	case platform.RecordOther:
+		if item.Key == "" {
+			r.noteOdd(item.Key, Change{Kind: "itemSkipped", Detail: item.Unreadable})
+		}
+	}
+}
+
+// noteOdd adds a change for a record that can't be used, unless one was added since the key last had one that can.
+func (r *Records) noteOdd(key string, change Change) {
+	if !r.odd[key] {
+		r.odd[key] = true
+		r.addChange(change)
 	}
 }
 
@@ -131,15 +159,16 @@
 func (r *Records) applyCatalog(item platform.Item) {
 	if item.Deleted {
 		r.catalogUnreadable = true
-		r.addChange(Change{Kind: "catalogKept", Detail: "the record was removed"})
+		r.noteOdd(item.Key, Change{Kind: "catalogKept", Detail: "the record was removed"})
 		return
 	}
-	decoded, err := platform.DecodeCatalog(item.Value)
+	decoded, err := decodeCatalog(item)
 	r.catalogUnreadable = err != nil
 	if err != nil {
-		r.addChange(Change{Kind: "catalogKept", Detail: err.Error()})
+		r.noteOdd(item.Key, Change{Kind: "catalogKept", Detail: err.Error()})
 		return
 	}
+	delete(r.odd, item.Key)
 	if r.catalog != nil && decoded.Version <= r.catalog.Version {
 		return
 	}
@@ -147,33 +176,39 @@
 	r.addChange(Change{Kind: "catalog"})
 }
 
-// applyTarget applies a target's record unless one of a later incarnation, or of the same incarnation with a higher
-// Sequence, was applied before. A malformed record removes the target.
+func decodeCatalog(item platform.Item) (*catalog.Catalog, error) {
+	if item.Unreadable != "" {
+		return nil, trace.BadParameter("%s", item.Unreadable)
+	}
+	return platform.DecodeCatalog(item.Value)
+}
+
+// applyTarget applies a target's record unless a later one was applied before: one with a higher revision of the store or,
+// where a revision is not known, one of a later incarnation or of the same incarnation with a higher Sequence. A malformed
+// record removes the target.
 func (r *Records) applyTarget(now, storeBackAt lovageshift.Millis, id lovageshift.TargetID, item platform.Item) {
 	if item.Deleted {
+		delete(r.odd, item.Key)
 		r.removeTarget(now, storeBackAt, id)
 		return
 	}
-	target, err := platform.DecodeTarget(string(id), item.Value)
+	target, err := decodeTarget(id, item)
 	if err != nil {
-		r.addChange(Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
+		r.noteOdd(item.Key, Change{Kind: "targetSkipped", Target: id, Detail: err.Error()})
 		r.dropTarget(now, id)
 		return
 	}
+	delete(r.odd, item.Key)
 	known := r.targets[id]
-	if known != nil && known.Born > target.Born {
-		return
-	}
 	same := known != nil && known.Born == target.Born
 	if same {
 		delete(r.lapsed, id)
 	}
-	// A record that was already applied does not change the target. In particular it must not restart the cold period of a
-	// target that has warmed up.
-	if same && target.Sequence <= known.Sequence && !recordsDiffer(known, target) {
-		return
+	outdated := known != nil && r.isOutdated(known, target, item.Revision)
+	if item.Revision > 0 {
+		r.revisions[id] = max(r.revisions[id], item.Revision)
 	}
-	if same && target.Sequence < known.Sequence {
+	if outdated {
 		return
 	}
 	inc := incarnation{id, target.Born}
@@ -198,6 +233,31 @@
 	}
 }
 
+func decodeTarget(id lovageshift.TargetID, item platform.Item) (*catalog.Target, error) {
+	if item.Unreadable != "" {
+		return nil, trace.Wrap(platform.ErrInvalidTarget, "%s", item.Unreadable)
+	}
+	return platform.DecodeTarget(string(id), item.Value)
+}
+
+// isOutdated reports whether the record adds nothing to the known state of the target. The store's revision decides where it
+// is known, as another writer may have written any start and any sequence under the target's id.
+func (r *Records) isOutdated(known, target *catalog.Target, revision int64) bool {
+	same := known.Born == target.Born
+	// A record that was already applied does not change the target. In particular it must not restart the cold period of a
+	// target that has warmed up.
+	if same && target.Sequence <= known.Sequence && !recordsDiffer(known, target) {
+		return true
+	}
+	if knownRevision, found := r.revisions[target.ID]; found && revision > 0 {
+		return revision <= knownRevision
+	}
+	return known.Born > target.Born || same && target.Sequence < known.Sequence
+}
+
+// forgetRevisions prepares the local copy for records of a new era, or of a store whose revisions have gone back.
+func (r *Records) forgetRevisions() { clear(r.revisions) }
+
 // recordsDiffer reports whether a target's new record differs from the known state of the same incarnation in a field
 // other than Sequence and ColdUntil.
 func recordsDiffer(known, target *catalog.Target) bool {
@@ -213,7 +273,7 @@
 	if target == nil {
 		return
 	}
-	if !target.Draining && now < storeBackAt+lapseGraceMillis {
+	if !target.Draining && storeBackAt > 0 && now < storeBackAt+lapseGraceMillis {
 		if _, pending := r.lapsed[id]; !pending {
 			r.lapsed[id] = storeBackAt + lapseGraceMillis
 			r.addChange(Change{Kind: "targetLapsed", Target: id, Zone: target.Zone})
@@ -223,10 +283,20 @@
 	r.dropTarget(now, id)
 }
 
+// dropLapsed removes the targets that have lapsed. It reports whether there were any.
+func (r *Records) dropLapsed(now lovageshift.Millis) bool {
+	changed := len(r.lapsed) > 0
+	for id := range r.lapsed {
+		r.dropTarget(now, id)
+	}
+	return changed
+}
+
 // dropTarget removes the target from the local copy at once.
 func (r *Records) dropTarget(now lovageshift.Millis, id lovageshift.TargetID) {
 	if target := r.targets[id]; target != nil {
 		delete(r.targets, id)
+		delete(r.revisions, id)
 		r.gone[id] = goneTarget{born: target.Born, sequence: target.Sequence, at: now}
 		r.addChange(Change{Kind: "targetGone", Target: id, Zone: target.Zone})
 	}
