Let the soak accept an empty body where a stream is taken up after its last event

Cause: the soak's check, not an entry. A connection ended between the eighth event, the last one, and the end of the body. The caller took the stream up with Last-Event-Id 8, the target had nothing left to send, and the entry passed on this complete empty body. The check took each body without events for that of a plain answer.

Change: an empty body is accepted only with last event 8; after fewer events, or with any text, it remains a finding. The finding names time, entry and last event. The test failed before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -203,8 +203,10 @@
 			c.add(ResponseIntact, "%s got status 200 without a signature of a target", attempt.Request.ID)
 		}
 		plain := len(reply.EventIDs) == 0
-		if reply.Complete && plain && !strings.HasPrefix(reply.Body, "done by ") {
-			c.add(ResponseIntact, "%s got %q as a complete body", attempt.Request.ID, reply.Body)
+		nothingLeft := attempt.Request.LastEventID == streamEvents && reply.Body == ""
+		if reply.Complete && plain && !nothingLeft && !strings.HasPrefix(reply.Body, "done by ") {
+			c.add(ResponseIntact, "%s, sent at %d ms to entry %d with last event %d, got %q as a complete body",
+				attempt.Request.ID, attempt.Sent, attempt.Entry, attempt.Request.LastEventID, reply.Body)
 		}
 	}
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -109,6 +109,17 @@
 			So(violatedByOne(c.path, c.change), ShouldContain, c.invariant)
 		})
 	}
+	Convey("A stream that is taken up after its last event goes on with an empty body, and no other one does", t, func() {
+		takenUpAfter := func(event int, body string) []soak.Invariant {
+			return violatedByOne("/resume/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+				a.Request.LastEventID, a.Reply.Body = event, body
+			})
+		}
+		So(takenUpAfter(8, ""), ShouldBeEmpty)
+		So(takenUpAfter(8, "id: 9"), ShouldContain, soak.ResponseIntact)
+		So(takenUpAfter(7, ""), ShouldContain, soak.ResponseIntact)
+		So(takenUpAfter(0, ""), ShouldContain, soak.ResponseIntact)
+	})
 	Convey("Bounds of time do not apply to an entry during a fault that affects it and shortly after", t, func() {
 		So(violatedByOne("/book/", func(_ *soak.Attempt, a *soak.Arrival, h *soak.History) {
 			a.DrainingSince = 6000
