Count a crash for each request that fails at a target already known to be down

Cause: three interleavings in which a crash counted for no request, or not for the one that had caused it. (1) A check that began before the request was sent to the target found the crash; the request's own check then saw a target that was already down, and counted nothing. (2) Another request was refused a connection before the failed one was checked: the target was marked as down without a crash. (3) The same while the check waited for the load report; what it had found was dropped. (2) and (3) need no other failure: a request that arrives just as the target crashes is enough.

Change: a request that fails at a target that is down becomes a suspect of the crash if it was not counted, and a check keeps its suspects when the target was marked as down meanwhile.

--- a/agent/crash.go
+++ b/agent/crash.go
@@ -20,17 +20,19 @@
 	downPollInterval = 100 * time.Millisecond
 )
 
-// checkForCrash reports, after a failed request, whether the target has crashed or was already known to be down. The
-// target counts as crashed if its load report cannot be read, or shows another incarnation than the last report read
-// before. Then every request that was running at the call of checkForCrash becomes a suspect (see package quarantine).
-// Plain services are checked in the same way.
-func (a *Agent) checkForCrash() bool {
+// checkForCrash reports, after the request of a job failed, whether the target has crashed or was already known to be
+// down. The target counts as crashed if its load report cannot be read, or shows another incarnation than the last report
+// read before. Then every request that was running at the call of checkForCrash becomes a suspect (see package
+// quarantine). If the target was already down, the failed request does: no earlier check may have known of it. Plain
+// services are checked in the same way.
+func (a *Agent) checkForCrash(j *job) bool {
 	a.mutex.Lock()
-	suspects := a.runningFingerprints()
+	running := a.sentJobs()
 	client, knownIncarnation := a.client, a.engineLoad.Incarnation
 	alreadyDown := a.targetDown
 	a.mutex.Unlock()
 	if alreadyDown {
+		a.recordCrash([]*job{j})
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -39,36 +41,49 @@
 	if err == nil && (knownIncarnation == "" || load.Incarnation == knownIncarnation) {
 		return false
 	}
-	a.recordCrash(suspects)
+	a.recordCrash(running)
 	return true
 }
 
-// runningFingerprints returns the fingerprints, other than 0, of the admitted requests of which the target may have
-// received a part; a.mutex must be held.
-func (a *Agent) runningFingerprints() []lovageshift.Fingerprint {
-	var fingerprints []lovageshift.Fingerprint
+// sentJobs returns the admitted jobs of whose requests the target may have received a part; a.mutex must be held.
+func (a *Agent) sentJobs() []*job {
+	var sent []*job
 	for request, j := range a.jobs {
-		if request.Running() && j.maybeSent.Load() && request.Fingerprint != 0 {
-			fingerprints = append(fingerprints, request.Fingerprint)
+		if request.Running() && j.maybeSent.Load() {
+			sent = append(sent, j)
 		}
 	}
-	return fingerprints
+	return sent
 }
 
-// recordCrash marks the target as down and counts one crash, in the metrics and for each suspect. It has no effect if
-// the target is already down, as another failed request may have detected the same crash.
-func (a *Agent) recordCrash(suspects []lovageshift.Fingerprint) {
+// recordCrash marks the target as down and counts one crash, in the metrics unless it is already down, and for each job
+// that no earlier call counted: another failed request may have detected the same crash.
+func (a *Agent) recordCrash(running []*job) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.targetDown {
-		return
+	suspects := newSuspects(running)
+	if !a.targetDown {
+		a.setTargetDown()
+		a.options.Metrics.Add(metrics.EngineCrashes, "engine", 1)
+		klog.Warningf("agent %s: the target crashed; %d running requests are suspects", a.options.Target, len(suspects))
 	}
-	a.setTargetDown()
-	a.options.Metrics.Add(metrics.EngineCrashes, "engine", 1)
-	klog.Warningf("agent %s: the target crashed; %d running requests are suspects", a.options.Target, len(suspects))
 	a.node.RecordCrashes(suspects)
 }
 
+// newSuspects marks the jobs as suspects and returns the fingerprints, other than 0, of those that were not marked before
+// and of whose requests the target may have received a part; Agent.mutex must be held.
+func newSuspects(jobs []*job) []lovageshift.Fingerprint {
+	var fingerprints []lovageshift.Fingerprint
+	for _, j := range jobs {
+		if j.suspect || !j.maybeSent.Load() || j.request.Fingerprint == 0 {
+			continue
+		}
+		j.suspect = true
+		fingerprints = append(fingerprints, j.request.Fingerprint)
+	}
+	return fingerprints
+}
+
 // setTargetDown marks the target as down, refuses the queued requests, resets the concurrency limiter to the target's
 // cold limit (see admission.ConcurrencyLimiter), drops the engine's load report and starts a new cache epoch; a.mutex
 // must be held.
@@ -82,7 +97,7 @@
 }
 
 // recordUnreachable marks a target as down to which no connection could be opened. Unlike recordCrash, it counts no
-// crash and makes no request a suspect.
+// crash and makes no request a suspect. Requests that run at the target count once they fail.
 func (a *Agent) recordUnreachable() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -33,6 +33,7 @@
 	maybeSent     atomic.Bool // the target may have received a part of the request
 	usage         tokenUsage
 	targetCrashed bool // after the request failed, checkForCrash found the target crashed or already down
+	suspect       bool // a crash of the target is counted for the request; Agent.mutex guards it
 }
 
 // tokenUsage holds the token counts of a request, as the engine reports them: of the prompt, of the output, and of the
--- a/agent/run.go
+++ b/agent/run.go
@@ -97,7 +97,7 @@
 		// A context whose cause is no refusal ended because the dispatch was stopped (errDispatchStopped).
 		return lovageshift.Unknown(lovageshift.ReasonWithdrawnByCaller, "cancelled while running")
 	}
-	j.targetCrashed = a.checkForCrash()
+	j.targetCrashed = a.checkForCrash(j)
 	a.recordFailure()
 	return lovageshift.Unknown(lovageshift.ReasonEngineFailed, err.Error())
 }
