Let the soak's targets say that they leave, or for how long they refuse requests

Seen: nothing in the soak sent Server-Leaving or a target's Retry-After, repeated a refusal, wrote a record that no target writes, or released targets while an entry was out of step.

Change: the stand-in target says in all answers that it leaves, refuses until a time with 503 and the time that is left, and sends a refusal once more before the next answer on the connection; its refusals carry the request's id, as answers do. New checks: what reaches a target from an entry after that entry passed on that the target leaves, and while the target refuses it. The pause of an entry, a target's misbehaviour and the grouping of arrivals by target no longer stand twice.

--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,8 @@
 	KeysRevoked          Invariant = "a revoked key works nowhere after the revocation bound"
 	ZonesEvacuated       Invariant = "a zone that was taken out of service receives no requests after the evacuation bound"
 	TargetsDrained       Invariant = "a draining target receives no requests after the drain bound"
+	LeavingNotUsed       Invariant = "a target that says that it leaves receives no requests from that entry after the drain bound"
+	RefusingNotUsed      Invariant = "a target that says for how long it refuses requests receives few from that entry until then"
 	ColdRateLimited      Invariant = "a cold target receives no more requests than its cold rate allows"
 	QuotaEnforced        Invariant = "an account uses no more than its quota"
 	RetriesBounded       Invariant = "repeated arrivals stay within the retry budget"
@@ -54,6 +56,10 @@
 	evacuationMillis lovageshift.Millis = 5000
 	// How long after a target began to drain it may still receive requests.
 	drainBoundMillis lovageshift.Millis = 3000
+	// A target that refuses a request with a time to wait may receive retryAfterRequests more from the same entry between
+	// retryAfterDelay after the refusal and the end of that time.
+	retryAfterDelay    lovageshift.Millis = 500
+	retryAfterRequests                    = 2
 	// How long an old quota may still apply after it was replaced by another.
 	quotaApplyMillis lovageshift.Millis = 3000
 	// How long after the last fault requests must be served again.
@@ -111,8 +117,8 @@
 	}
 	for _, check := range []func(){
 		c.checkExits, c.checkAtMostOnce, c.checkRefusals, c.checkRequests, c.checkResponses, c.checkStreams, c.checkVersions,
-		c.checkKeys, c.checkZones, c.checkDraining, c.checkColdRate, c.checkQuota, c.checkRetryBudget,
-		c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
+		c.checkKeys, c.checkZones, c.checkDraining, c.checkLeaving, c.checkRefusing, c.checkColdRate, c.checkQuota,
+		c.checkRetryBudget, c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
 	} {
 		check()
 	}
--- a/soak/check_rates.go
+++ b/soak/check_rates.go
@@ -6,17 +6,22 @@
 	"lovageshift"
 )
 
-// checkColdRate counts arrivals at a cold target in the window that begins at each arrival. It leaves out requests that
-// were sent more than 1 ms before the window.
-func (c *checker) checkColdRate() {
-	limit := int(coldPerSecond*coldOvershoot + coldSlack)
+// byTarget returns the arrivals that match, by the id of the target.
+func (c *checker) byTarget(matches func(Arrival) bool) map[string][]Arrival {
 	byTarget := map[string][]Arrival{}
 	for _, arrival := range c.Arrivals {
-		if arrival.Cold && c.coldKnown(arrival) {
+		if matches(arrival) {
 			byTarget[arrival.Target] = append(byTarget[arrival.Target], arrival)
 		}
 	}
-	for target, arrivals := range byTarget {
+	return byTarget
+}
+
+// checkColdRate counts arrivals at a cold target in the window that begins at each arrival. It leaves out requests that
+// were sent more than 1 ms before the window.
+func (c *checker) checkColdRate() {
+	limit := int(coldPerSecond*coldOvershoot + coldSlack)
+	for target, arrivals := range c.byTarget(func(a Arrival) bool { return a.Cold && c.coldKnown(a) }) {
 		for i, first := range arrivals {
 			count := 0
 			for _, arrival := range arrivals[i:] {
@@ -130,14 +135,11 @@
 // checkLimits counts arrivals at a target that names a limit, as far as bounds of time apply, in the window that begins at
 // each arrival.
 func (c *checker) checkLimits() {
-	byTarget := map[string][]Arrival{}
-	for _, arrival := range c.Arrivals {
-		if arrival.LimitedSince > 0 && arrival.At >= arrival.LimitedSince+settleMillis && c.boundsApply(arrival) {
-			byTarget[arrival.Target] = append(byTarget[arrival.Target], arrival)
-		}
+	limited := func(a Arrival) bool {
+		return a.LimitedSince > 0 && a.At >= a.LimitedSince+settleMillis && c.boundsApply(a)
 	}
 	allowed := int(limitOvershoot*limitPerSecond*limitWindow.Seconds()) + limitSlack
-	for target, arrivals := range byTarget {
+	for target, arrivals := range c.byTarget(limited) {
 		for i, first := range arrivals {
 			count := 0
 			for _, arrival := range arrivals[i:] {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -178,6 +179,45 @@
 		earlier := func(_ *soak.Attempt, r *soak.Arrival) { r.LimitedSince = 1000 }
 		So(violated(manyRequests("/read/", 40, 200, earlier)), ShouldBeEmpty)
 	})
+	Convey("Requests from an entry to a target that leaves are a violation once the entry passed that on", t, func() {
+		leaving := func(_ *soak.Attempt, r *soak.Arrival) { r.Leaving = true }
+		So(violated(manyRequests("/read/", 16, 200, leaving)), ShouldBeEmpty)
+		h := manyRequests("/read/", 17, 200, leaving)
+		So(violated(h), ShouldContain, soak.LeavingNotUsed)
+		h.Arrivals[16].Born = 1 // the target has started again
+		So(violated(h), ShouldBeEmpty)
+		h.Arrivals[16].Born = 0
+		h.FaultPeriods = []soak.FaultPeriod{{Kind: soak.StoreLinkHeld, Entry: 0, From: 9000, To: 14_000}}
+		So(violated(h), ShouldContain, soak.LeavingNotUsed)
+		h.FaultPeriods[0].Kind = soak.EntryPaused
+		So(violated(h), ShouldBeEmpty)
+		h.FaultPeriods[0].Entry = 1
+		So(violated(h), ShouldContain, soak.LeavingNotUsed)
+	})
+	Convey("A leaving target that was not named to the caller, or by another entry, binds no entry", t, func() {
+		leaving := func(a *soak.Attempt, r *soak.Arrival) { a.Reply.Signed, a.Reply.Status, r.Leaving = false, 502, true }
+		So(violated(manyRequests("/read/", 17, 200, leaving)), ShouldBeEmpty)
+		h := manyRequests("/read/", 17, 200, func(_ *soak.Attempt, r *soak.Arrival) { r.Leaving = true })
+		h.Attempts[16].Entry = 1
+		So(violated(h), ShouldBeEmpty)
+	})
+	Convey("More than two requests from an entry to a target while it refuses them are a violation, half a second after it said so", t, func() {
+		refusing := func(count int, step lovageshift.Millis) *soak.History {
+			h := manyRequests("/read/", count, step, func(_ *soak.Attempt, r *soak.Arrival) { r.Executed = false })
+			h.Arrivals[0].RetryAfter = 1500 * time.Millisecond
+			return h
+		}
+		So(violated(refusing(50, 10)), ShouldBeEmpty)
+		So(violated(refusing(4, 300)), ShouldBeEmpty)
+		So(violated(refusing(6, 250)), ShouldContain, soak.RefusingNotUsed)
+		So(violated(refusing(6, 500)), ShouldBeEmpty)
+		h := refusing(6, 250)
+		h.Attempts[4].Entry = 1
+		So(violated(h), ShouldBeEmpty)
+		h = refusing(6, 250)
+		h.FaultPeriods = []soak.FaultPeriod{{Kind: soak.StoreLinkHeld, Entry: 0, From: 9000, To: 14_000}}
+		So(violated(h), ShouldBeEmpty)
+	})
 	Convey("Many late responses violate an invariant, and so do many denials", t, func() {
 		So(violated(manyRequests("/read/", 20, 20, func(a *soak.Attempt, _ *soak.Arrival) { a.Ended = a.Sent + 4000 })),
 			ShouldContain, soak.AnsweredByDeadline)
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -107,6 +107,13 @@
 	_ = e.process.Signal(signal) // the process may just have exited
 }
 
+// pause stops the process until wait returns.
+func (e *entry) pause(wait func()) {
+	e.signal(syscall.SIGSTOP)
+	wait()
+	e.signal(syscall.SIGCONT)
+}
+
 func (e *entry) kill() { e.signal(syscall.SIGKILL) }
 
 // isRunning reports whether the given process still runs.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lovageshift"
 	"lovageshift/standin"
 )
@@ -21,6 +23,8 @@
 	limitedMillis = settleMillis + limitWindow
 	// With StoreRestored, the store is away for a time below maxAwayMillis.
 	maxAwayMillis = 2000
+	// Time between the leaving of one target and the next in a release.
+	releaseInterval = 300 * time.Millisecond
 	// Interval of checks whether a process has exited or an entry is in rotation.
 	pollInterval = 20 * time.Millisecond
 )
@@ -52,9 +56,7 @@
 	case EntryStopped:
 		r.stopEntry(ctx, e)
 	case EntryPaused:
-		e.signal(syscall.SIGSTOP)
-		wait()
-		e.signal(syscall.SIGCONT)
+		e.pause(wait)
 	case EntryReloaded:
 		r.reloadEntry(e, fault.Variant%2 == 0)
 	case StoreLinkRefused:
@@ -99,6 +101,12 @@
 		r.sendFatalRequests(ctx, fault)
 	case FatalPart:
 		r.sendFatalPart(ctx, fault)
+	case StoreRecordOdd:
+		r.testbed.putOddRecord(host, fault.Variant)
+		wait()
+		r.testbed.store.Delete(oddRecordKey)
+	case TargetsReleased:
+		r.releaseTargets(ctx, fault, e, wait)
 	default:
 		r.injectTargetFault(ctx, fault, host, wait)
 	}
@@ -122,11 +130,17 @@
 	case TargetSlow:
 		r.withLinkState(host.proxy, LinkSlow, wait, false)
 	case TargetMisbehaves:
-		host.update(func(i *instance) { i.replica.SetFault(replicaFaults[fault.Variant%len(replicaFaults)]) })
-		wait()
-		host.update(func(i *instance) { i.replica.SetFault(standin.ReplicaFaultNone) })
+		host.misbehave(replicaFaults[fault.Variant%len(replicaFaults)], wait)
 	case TargetLeaves:
-		r.testbed.drainTarget(ctx, host)
+		r.testbed.drainTarget(ctx, host, r.testbed.reportDraining)
+	case TargetSaysLeaving:
+		notices := [][]notice{{sayLeaving, r.testbed.reportDraining}, {r.testbed.reportDraining, sayLeaving}, {sayLeaving}}
+		r.testbed.drainTarget(ctx, host, notices[fault.Variant%len(notices)]...)
+	case TargetRefuses:
+		host.update(func(i *instance) { i.replica.RefuseUntil(time.Now().Add(fault.Length.Duration())) })
+		wait()
+	case TargetRepeatsRefusal:
+		host.misbehave(standin.ReplicaFaultRepeatRefusal, wait)
 	case TargetLapses:
 		host.setRecordPaused(true)
 		lovageshift.Pause(ctx, recordPauseMillis.Duration())
@@ -143,6 +157,25 @@
 	}
 }
 
+// releaseTargets makes every second target leave, one after the other, while the entry is out of step.
+func (r *run) releaseTargets(ctx context.Context, fault Fault, e *entry, wait func()) {
+	var tasks errgroup.Group
+	for number := fault.Subject % softwareVersions; number < len(r.testbed.hosts); number += softwareVersions {
+		tasks.Go(func() error {
+			lovageshift.Pause(ctx, time.Duration(number)*releaseInterval)
+			r.testbed.drainTarget(ctx, r.testbed.hosts[number], r.testbed.reportDraining, sayLeaving, breakConnections)
+			return nil
+		})
+	}
+	if fault.Variant%2 == 0 {
+		defer r.recordFault(EntryPaused, e.number)()
+		e.pause(wait)
+	} else {
+		r.withLinkState(e.storeProxy, LinkHeld, wait, true)
+	}
+	_ = tasks.Wait()
+}
+
 // restoreStore publishes a catalog after the copy was made, just before the store is away. The variant selects for how long.
 func (r *run) restoreStore(ctx context.Context, fault Fault) {
 	from := r.testbed.store.Copy()
@@ -159,7 +192,7 @@
 func (r *run) affectedEntry(fault Fault) int {
 	switch fault.Kind {
 	case EntryKilled, EntryStopped, EntryPaused, EntryReloaded, StoreLinkRefused, StoreLinkHeld, StoreLinkOneWay,
-		StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow:
+		StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow, TargetsReleased:
 		return fault.Subject % len(r.entries)
 	case AllKilled, StoreFails, StoreSilent, StoreForgets, StoreRestored:
 		return AllEntries
--- a/soak/history.go
+++ b/soak/history.go
@@ -15,8 +15,9 @@
 type Arrival struct {
 	standin.ReceivedRequest
 	At lovageshift.Millis
-	// Target is the id of the target. Service and Zone are those of the target.
+	// Target is the id of the target, and Born the wall time of its start. Service and Zone are those of the target.
 	Target  string
+	Born    lovageshift.Millis
 	Service string
 	Zone    string
 	// Cold reports whether the target was cold when the request arrived.
@@ -40,6 +41,9 @@
 	To    lovageshift.Millis
 }
 
+// affects reports whether the fault affects the entry, alone or with all others.
+func (p FaultPeriod) affects(entry int) bool { return p.Entry == entry || p.Entry == AllEntries }
+
 // Values of FaultPeriod.Entry that are not the number of an entry.
 const (
 	AllEntries = -1
@@ -83,7 +87,7 @@
 // Settled reports whether no fault that affects the entry, all entries or the store was in progress at a time or in the
 // settleMillis before.
 func (h *History) Settled(entry int, at lovageshift.Millis) bool {
-	return h.faultFree(at-settleMillis, at, func(p FaultPeriod) bool { return p.Entry == entry || p.Entry == AllEntries })
+	return h.faultFree(at-settleMillis, at, func(p FaultPeriod) bool { return p.affects(entry) })
 }
 
 // faultFree reports whether none of the matching fault periods overlaps the time from from to to, ends included.
@@ -122,7 +126,7 @@
 		for _, i := range h.instances {
 			for _, received := range i.replica.Received() {
 				at := t.clock.Now() - lovageshift.Millis(time.Since(received.ReceivedAt).Milliseconds())
-				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Service: h.service, Zone: h.zone}
+				arrival := Arrival{ReceivedRequest: received, At: at, Target: i.replica.ID, Born: i.startedAt, Service: h.service, Zone: h.zone}
 				arrival.Cold, arrival.ColdAgainAt = i.coldAt(at)
 				if i.drainingSince > 0 && at >= i.drainingSince {
 					arrival.DrainingSince = i.drainingSince
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -77,6 +77,20 @@
 	// StoreRestored makes the store fail for a moment and come back from a copy made at the start of the fault. What targets
 	// and the operator wrote since then is lost, and is written again.
 	StoreRestored Kind = "storeRestored"
+	// TargetRepeatsRefusal makes a target refuse requests, and send each refusal once more before the next answer on the same
+	// connection.
+	TargetRepeatsRefusal Kind = "targetRepeatsRefusal"
+	// StoreRecordOdd puts a record of a target into the store that no target writes, in the form that the variant selects.
+	StoreRecordOdd Kind = "storeRecordOdd"
+
+	// TargetSaysLeaving makes a target say in its answers that it leaves, drain and exit. The variant decides whether the
+	// store knows it before, after or never.
+	TargetSaysLeaving Kind = "targetSaysLeaving"
+	// TargetRefuses makes a target refuse requests for the length of the fault, and say for how long.
+	TargetRefuses Kind = "targetRefuses"
+	// TargetsReleased makes half of the targets of each service say that they leave, lose their connections and exit; the
+	// next ones have the other version. Meanwhile an entry is paused or cut off from the store, as the variant selects.
+	TargetsReleased Kind = "targetsReleased"
 )
 
 var allKinds = []Kind{
@@ -86,8 +100,18 @@
 	StoreForgets, KeyWithdrawn, QuotaLowered, ZoneOut, FatalRequest,
 }
 
-// laterKinds are drawn apart from allKinds, so that the other faults of seeds from before stay the same.
-var laterKinds = []Kind{FatalPart, TargetLimited, StoreRestored}
+// laterKinds are drawn apart from allKinds, so that the other faults of seeds from before stay the same. New ones are added at
+// the end.
+var laterKinds = []Kind{FatalPart, TargetLimited, StoreRestored, TargetRepeatsRefusal, StoreRecordOdd}
+
+// noticeKinds are those of Options.Notices.
+var noticeKinds = []Kind{TargetSaysLeaving, TargetRefuses, TargetsReleased}
+
+// awayKinds stop or restart entries. targetLinkKinds hold back or end what passes between entries and targets.
+var (
+	awayKinds       = []Kind{EntryKilled, EntryStopped, EntryPaused, AllKilled}
+	targetLinkKinds = []Kind{TargetReset, TargetHeld, TargetOneWay, TargetSilent, TargetSlow, TargetsReleased}
+)
 
 // Fault is one planned fault. Actions of the operator and fatal requests count as faults.
 type Fault struct {
@@ -124,15 +148,33 @@
 // NewPlan returns the faults of a seed, ordered by start. All of them start before the end of the window, which is in
 // milliseconds from the start of traffic.
 func NewPlan(seed uint64, window lovageshift.Millis) []Fault {
-	faults := append(drawFaults(rand.New(rand.NewPCG(seed, seed)), window), drawLaterFaults(rand.New(rand.NewPCG(seed, ^seed)), window)...)
+	faults := append(drawFaults(rand.New(rand.NewPCG(seed, seed)), window), drawEach(laterKinds, rand.New(rand.NewPCG(seed, ^seed)), window)...)
+	return sorted(faults)
+}
+
+// plan returns the faults of the run: those of NewPlan and, with Notices, those of two draws of the noticeKinds.
+func (o Options) plan() []Fault {
+	faults := NewPlan(o.Seed, o.FaultWindow)
+	if !o.Notices {
+		return faults
+	}
+	random := rand.New(rand.NewPCG(^o.Seed, o.Seed))
+	for range 2 {
+		faults = append(faults, drawEach(noticeKinds, random, o.FaultWindow)...)
+	}
+	return sorted(faults)
+}
+
+// sorted sorts faults in place by their start and returns them.
+func sorted(faults []Fault) []Fault {
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Start < faults[j].Start })
 	return faults
 }
 
-// drawLaterFaults returns a fault of each of the laterKinds for about half of the seeds.
-func drawLaterFaults(random *rand.Rand, window lovageshift.Millis) []Fault {
+// drawEach returns a fault of each of the kinds for about half of the seeds.
+func drawEach(kinds []Kind, random *rand.Rand, window lovageshift.Millis) []Fault {
 	var faults []Fault
-	for _, kind := range laterKinds {
+	for _, kind := range kinds {
 		if random.IntN(2) == 0 {
 			faults = append(faults, drawFault(random, kind, window))
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,8 @@
 	Callers int
 	// FaultWindow is the time, in milliseconds from the start of traffic, in which faults start.
 	FaultWindow lovageshift.Millis
+	// Notices adds faults in which targets say that they leave, or for how long they refuse requests.
+	Notices bool
 	// TrafficAfterRecovery is for how many milliseconds callers continue after the recovery time that follows the last
 	// fault.
 	TrafficAfterRecovery lovageshift.Millis
@@ -249,7 +251,7 @@
 func (r *run) injectFaults(ctx context.Context) {
 	start := r.clock.Now()
 	var running errgroup.Group
-	for _, fault := range NewPlan(r.options.Seed, r.options.FaultWindow) {
+	for _, fault := range r.options.plan() {
 		lovageshift.Pause(ctx, (start + fault.Start - r.clock.Now()).Duration())
 		running.Go(func() error {
 			r.inject(ctx, fault)
--- a/soak/target.go
+++ b/soak/target.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// misbehave gives the target that runs a fault until wait returns.
+func (h *targetHost) misbehave(fault standin.ReplicaFault, wait func()) {
+	h.update(func(i *instance) { i.replica.SetFault(fault) })
+	wait()
+	h.update(func(i *instance) { i.replica.SetFault(standin.ReplicaFaultNone) })
+}
+
 // recordKey returns the store key of the record of the target that runs, or "" if none runs.
 func (h *targetHost) recordKey() string {
 	h.mutex.Lock()
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -37,6 +38,10 @@
 
 	smallRate  = 400.0 // tokens per second
 	smallBurst = 800.0 // tokens
+	// Time between two steps by which a target makes known that it leaves.
+	noticeInterval = 500 * time.Millisecond
+	// How deep an odd record is nested.
+	oddNesting = 20_000
 	// QuotaLowered divides the rate and the burst by this.
 	quotaDivisor = 4
 )
@@ -293,15 +298,62 @@
 	}
 }
 
-// drainTarget makes the target report that it drains, serve for targetDrainMillis, and exit. If by then
-// another target with another id runs on the host, drainTarget leaves that one running.
-func (t *testbed) drainTarget(ctx context.Context, h *targetHost) {
+// notice is a step by which a target makes known that it leaves.
+type notice func(h *targetHost)
+
+// reportDraining makes the target report to the store that it drains.
+func (t *testbed) reportDraining(h *targetHost) {
 	h.update(func(i *instance) { i.drainingSince = t.clock.Now() })
-	key := h.recordKey()
 	t.writeRecord(h)
+}
+
+// sayLeaving makes the target say in its answers that it leaves.
+func sayLeaving(h *targetHost) { h.update(func(i *instance) { i.replica.SetLeaving() }) }
+
+// breakConnections resets the connections to the target.
+func breakConnections(h *targetHost) { h.proxy.Reset() }
+
+// drainTarget makes the target take the steps, noticeInterval apart, serve for targetDrainMillis, and exit. If by then
+// another target with another id runs on the host, drainTarget leaves that one running.
+func (t *testbed) drainTarget(ctx context.Context, h *targetHost, notices ...notice) {
+	key := h.recordKey()
+	for i, step := range notices {
+		if i > 0 {
+			lovageshift.Pause(ctx, noticeInterval)
+		}
+		step(h)
+	}
 	lovageshift.Pause(ctx, targetDrainMillis.Duration())
 	if key == h.recordKey() {
 		t.store.Delete(key)
 		h.kill(false)
 	}
 }
+
+// oddRecordKey is the store key of a record that no target writes.
+const oddRecordKey = standin.TargetKeyPrefix + "odd"
+
+// oddFields are fields of records with values that no target writes.
+var oddFields = []struct{ name, value string }{
+	{"zone", strings.Repeat("[", oddNesting) + strings.Repeat("]", oddNesting)},
+	{"born", "1e400"},
+	{"address", `"127.0.0.1:0"`},
+	{"address", `"127.0.0.1:70000"`},
+	{"slots", `"eight"`},
+	{"state", "{}"},
+}
+
+// putOddRecord writes a copy of the host's record with one of the oddFields.
+func (t *testbed) putOddRecord(h *targetHost, variant int) {
+	_, record, ok := h.record()
+	if !ok {
+		return
+	}
+	odd := oddFields[variant%len(oddFields)]
+	delete(record, odd.name)
+	content, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // the record holds only values that JSON can encode
+	}
+	t.store.PutBytes(oddRecordKey, fmt.Appendf(content[:len(content)-1], `,%q:%s}`, odd.name, odd.value))
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -31,12 +31,15 @@
 	CrashesOn func(request *http.Request) bool
 	OnCrash   func()
 
-	mutex    sync.Mutex
-	running  int // requests that run now
-	fault    ReplicaFault
-	limit    string
-	silenced chan struct{} // closed when the answers that run now send nothing any more, nil before the first request
-	received []ReceivedRequest
+	mutex       sync.Mutex
+	running     int // requests that run now
+	fault       ReplicaFault
+	limit       string
+	leaving     bool
+	refuseUntil time.Time
+	refusedOn   map[string]string // id of the refused request by connection, for ReplicaFaultRepeatRefusal
+	silenced    chan struct{}     // closed when the answers that run now send nothing any more, nil before the first request
+	received    []ReceivedRequest
 }
 
 // ReplicaFault is what a replica does wrong when it answers.
@@ -60,6 +63,9 @@
 	ReplicaFaultWrongRequestID
 	// ReplicaFaultUnsigned answers without a signature.
 	ReplicaFaultUnsigned
+	// ReplicaFaultRepeatRefusal refuses the first request on each connection as ReplicaFaultRefuse does. It runs the second
+	// one, and sends the refusal once more just before the answer.
+	ReplicaFaultRepeatRefusal
 )
 
 // ReceivedRequest is a request for the replica that reached it.
@@ -75,13 +81,16 @@
 	LastEventID    string // the Last-Event-Id header
 	DeadlineMillis string // the deadline header as received
 	ReceivedAt     time.Time
+	// Leaving is set if the answer says that the replica leaves. RetryAfter is the time that a refusal names, 0 for none.
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // SetFault sets the fault of the answers to all requests that arrive from now on.
 func (r *Replica) SetFault(fault ReplicaFault) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.fault = fault
+	r.fault, r.refusedOn = fault, map[string]string{}
 }
 
 // SetLimit sets the number of requests a second that the replica names as its limit in all answers from now on, "" for none.
@@ -168,17 +177,20 @@
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	header := w.Header()
 	if expected := request.Header.Get("Lovageshift-Expected-Instance"); expected != r.ID {
+		r.setLeavingHeader(header)
 		header.Set("Lovageshift-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	fault, executed := r.admit(request)
+	fault, received := r.admit(request)
 	if limit := r.currentLimit(); limit != "" {
 		header.Set(HeaderLimit, limit)
 	}
-	if !executed {
-		header.Set("Lovageshift-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if received.Leaving {
+		header.Set(headerLeaving, "1")
+	}
+	if !received.Executed {
+		refuse(w, received)
 		return
 	}
 	defer r.release()
@@ -199,6 +211,10 @@
 		r.OnCrash()
 		r.abort(request, silenced)
 	}
+	if refused := r.takeRefusal(request.RemoteAddr); refused != "" {
+		r.repeatRefusal(w, request, refused)
+		return
+	}
 	switch fault {
 	case ReplicaFaultReset:
 		panic(http.ErrAbortHandler)
@@ -228,9 +244,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// admit records a request and takes a slot for it. It returns the fault that applies to its answer, and false if the
-// request is refused.
-func (r *Replica) admit(request *http.Request) (ReplicaFault, bool) {
+// admit records a request and takes a slot for it unless it is refused. It returns the fault that applies to its answer.
+func (r *Replica) admit(request *http.Request) (ReplicaFault, ReceivedRequest) {
 	body, _ := io.ReadAll(request.Body)
 	received := ReceivedRequest{
 		ID: request.Header.Get(HeaderRequestID), URI: request.RequestURI, Body: string(body),
@@ -242,12 +257,16 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	received.Executed = r.fault != ReplicaFaultRefuse && r.running < r.Slots
+	received.Leaving, received.RetryAfter = r.leaving, max(r.refuseUntil.Sub(received.ReceivedAt), 0)
+	received.Executed = received.RetryAfter == 0 && r.fault != ReplicaFaultRefuse && r.running < r.Slots
+	if r.fault == ReplicaFaultRepeatRefusal && r.refusedOn[request.RemoteAddr] == "" {
+		r.refusedOn[request.RemoteAddr], received.Executed = received.ID, false
+	}
 	r.received = append(r.received, received)
 	if received.Executed {
 		r.running++
 	}
-	return r.fault, received.Executed
+	return r.fault, received
 }
 
 func (r *Replica) currentLimit() string {
@@ -280,11 +299,16 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", number, number, versionMark, r.version()))
+		_, _ = io.WriteString(w, r.event(number))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// event returns one event of a stream.
+func (r *Replica) event(number int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", number, number, versionMark, r.version())
+}
+
 // sleep waits for the duration; it returns early if the request is cancelled.
 func sleep(request *http.Request, duration time.Duration) {
 	timer := time.NewTimer(duration)
