Take an answer for that of a request only if it names the request

Callers were told "not run, try again" of requests that a target ran or was running, and such a request then ran at a second target: a faulty target wrote an earlier refusal once more on a kept connection.

Cause: an answer with another request's id was skipped, but one without an id counted as that of the request just sent, also a refusal. With an id that a caller uses again, nothing told the two requests apart on one connection. A success that says that the request did not run counted as "not run".

Change: an answer without the id, with two, or with a success status and "not run" is invalid, so that the outcome is unknown and the connection ends. A request whose id was lately sent to the target gets a new connection. A connection that brought another request's answer is not kept; after one to a HEAD request nothing more is read, as the length of its body is not known. A new connection that brings bytes, or ends, before the request is written does not get it.

Why it works: "not run" needs an answer that names the request, on a connection on which no other request with its id was sent and no earlier answer can be due.

The stand-in target echoes the id in its refusals now, as the protocol says. TestConnections sent one id three times and wanted one connection; it sends three ids now and wants the same.

--- a/standin/headers.go
+++ b/standin/headers.go
@@ -11,6 +11,9 @@
 	// HeaderLimit names the requests a second that a target takes from all entries together.
 	HeaderLimit = "Server-Limit"
 
+	// HeaderNotRun says that the target did not run the request and never will.
+	HeaderNotRun = "Lovageshift-Not-Executed"
+
 	headerLastEvent = "Last-Event-Id"
 	headerResumes   = "Resumes"
 )
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -167,6 +167,7 @@
 // free slot gets status 503 and the header that says that it did not run.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	header := w.Header()
+	header.Set(HeaderRequestID, request.Header.Get(HeaderRequestID))
 	if expected := request.Header.Get("Lovageshift-Expected-Instance"); expected != r.ID {
 		header.Set("Lovageshift-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -177,7 +178,7 @@
 		header.Set(HeaderLimit, limit)
 	}
 	if !executed {
-		header.Set("Lovageshift-Not-Executed", "1")
+		header.Set(HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -186,11 +187,9 @@
 	if r.EndsWithConnection {
 		header.Set("Transfer-Encoding", "identity")
 	}
-	id := request.Header.Get(HeaderRequestID)
 	if fault == ReplicaFaultWrongRequestID {
-		id = "another"
+		header.Set(HeaderRequestID, "another")
 	}
-	header.Set(HeaderRequestID, id)
 	if fault != ReplicaFaultUnsigned {
 		header.Set(HeaderSignature, "seal-"+r.ID)
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -46,6 +46,8 @@
 	head   *headLimiter
 	reader *bufio.Reader
 	key    connKey
+	// outOfTurn is set once a response to another request than the last one was read.
+	outOfTurn bool
 	// idleSince is when the connection last became idle. maxIdle is how long after that it may stay idle before Expire
 	// closes it.
 	idleSince lovageshift.Millis
@@ -70,9 +72,12 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), key: key}, nil
 }
 
-// reusable reports whether an idle connection is still open and no bytes have been received on it. Bytes that arrive
-// between two requests are a response to neither of them, so they make the connection unusable.
-func (c *conn) reusable() bool {
+// inTurn reports whether the connection has received exactly one response, interim ones aside, to each of its requests.
+func (c *conn) inTurn() bool { return !c.outOfTurn && c.reader.Buffered() == 0 }
+
+// silent reports whether the connection is open and no bytes have been received on it since the last response. Bytes that
+// arrive before a request is written are no response to it, so they make the connection unusable.
+func (c *conn) silent() bool {
 	tcp, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -81,14 +86,14 @@
 	if err != nil {
 		return false
 	}
-	reusable := false
+	silent := false
 	var peeked [1]byte
 	err = raw.Read(func(descriptor uintptr) bool {
 		_, _, sockErr := unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = sockErr == unix.EAGAIN
+		silent = sockErr == unix.EAGAIN
 		return true
 	})
-	return err == nil && reusable
+	return err == nil && silent
 }
 
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive header, which the header gives in seconds; 0 if there
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,23 +50,25 @@
 	idle map[connKey][]*conn
 	// openCount is the number of open connections to each target, those in use and being opened included.
 	openCount map[connKey]int
+	recent    recentIDs
 }
 
 // NewPool returns a pool without connections.
 func NewPool(clock lovageshift.Clock, m *metrics.Metrics) *Pool {
-	return &Pool{clock: clock, metrics: m, idle: map[connKey][]*conn{}, openCount: map[connKey]int{}}
+	return &Pool{clock: clock, metrics: m, idle: map[connKey][]*conn{}, openCount: map[connKey]int{}, recent: newRecentIDs()}
 }
 
 // acquire returns an idle connection to the target that the request may use, or opens one. If limit connections are
 // open already (0 for no limit), acquire first closes the one that has been idle longest, or fails if none is idle. The
 // second result reports whether the connection has been used before.
-func (p *Pool) acquire(ctx context.Context, key connKey, limit int, repeatable bool) (*conn, bool, error) {
-	for {
-		idle := p.popIdle(key, repeatable)
+func (p *Pool) acquire(ctx context.Context, key connKey, limit int, request *Request) (*conn, bool, error) {
+	mayReuse := p.isFirst(key, request.ID)
+	for mayReuse {
+		idle := p.popIdle(key, request.Repeatable)
 		if idle == nil {
 			break
 		}
-		if idle.reusable() {
+		if idle.silent() {
 			return idle, true, nil
 		}
 		p.discard(idle)
@@ -83,9 +85,21 @@
 		return nil, false, trace.Wrap(ErrNotSent, "%v", err)
 	}
 	p.metrics.Add(metrics.TargetConnections, "opened", 1)
+	if !opened.silent() {
+		p.discard(opened)
+		return nil, false, trace.Wrap(ErrNotSent, "the connection ended, or brought an answer, before the request")
+	}
 	return opened, false, nil
 }
 
+// isFirst reports whether no request with the ID has lately been sent to the target. Another one gets a new connection: a
+// target may send a response once more on a kept one, and nothing would tell to which of the requests it belongs.
+func (p *Pool) isFirst(key connKey, id string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.recent.add(p.clock.Now(), key, id)
+}
+
 // popIdle removes and returns the idle connection that was used last. It returns nil if there is none, or if that one
 // has been idle for longer than maxUnsafeIdle and the request is not repeatable; the others have been idle even longer.
 func (p *Pool) popIdle(key connKey, repeatable bool) *conn {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -33,8 +33,8 @@
 
 // Request is a request in the form in which it is sent to a target.
 type Request struct {
-	// ID is the request ID, which Header contains too. A response with another request ID is skipped, and a response with
-	// a success status must carry this one.
+	// ID is the request ID, which Header contains too. A response with another request ID is skipped, and one without a
+	// request ID is invalid.
 	ID     string
 	Method string
 	// URI is the path and query exactly as the caller sent them.
@@ -75,7 +75,7 @@
 // error matches ErrNotSent.
 func (p *Pool) Send(ctx context.Context, target *catalog.Target, limit int, request *Request) (*TargetResponse, error) {
 	key := connKey{target.ID, target.Born, target.Address}
-	c, reused, err := p.acquire(ctx, key, limit, request.Repeatable)
+	c, reused, err := p.acquire(ctx, key, limit, request)
 	if err != nil {
 		return nil, err
 	}
@@ -121,11 +121,7 @@
 	}
 	decoded := platform.ParseResponseHeader(httpResponse.StatusCode, httpResponse.Header)
 	if decoded.RequestID != "" && decoded.RequestID != request.ID {
-		_, err := io.CopyN(io.Discard, httpResponse.Body, maxLateBytes)
-		if err != io.EOF || httpResponse.Close {
-			return nil, false, trace.Wrap(ErrInvalidResponse, "an answer to another request")
-		}
-		return nil, true, nil
+		return nil, true, skipLate(c, request, httpResponse)
 	}
 	if err := validate(httpResponse, decoded); err != nil {
 		return nil, false, err
@@ -136,6 +132,17 @@
 	}, false, nil
 }
 
+// skipLate reads a response to another request to its end. It returns an error if the next response cannot be read after
+// it: a response to a HEAD request has no body whatever its header says, but the other request may have been none.
+func skipLate(c *conn, request *Request, late *http.Response) error {
+	c.outOfTurn = true
+	_, err := io.CopyN(io.Discard, late.Body, maxLateBytes)
+	if err != io.EOF || late.Close || request.Method == http.MethodHead {
+		return trace.Wrap(ErrInvalidResponse, "an answer to another request")
+	}
+	return nil
+}
+
 // headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, and
 // ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
 // no type of their own.
@@ -147,8 +154,9 @@
 	return trace.Wrap(ErrConnectionLost, "read: %s", text)
 }
 
-// validate returns an error for a response that must not be forwarded: one whose body has a content encoding, one with
-// a success status that lacks a signature or a request ID, or one that is not HTTP/1.
+// validate returns an error for a response that proves nothing of the request and must not be forwarded: one without a
+// request ID, as any response of the target may be, one whose body has a content encoding, one with a success status that
+// lacks a signature or says that the request did not run, or one that is not HTTP/1.
 func validate(response *http.Response, decoded platform.ResponseHeader) error {
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
@@ -156,8 +164,12 @@
 		return trace.Wrap(ErrInvalidResponse, "protocol %q", response.Proto)
 	case response.Header.Get("Content-Encoding") != "":
 		return trace.Wrap(ErrInvalidResponse, "an encoded body")
-	case success && (!decoded.Signed || decoded.RequestID == ""):
-		return trace.Wrap(ErrInvalidResponse, "a success without its signature or its request")
+	case decoded.RequestID == "":
+		return trace.Wrap(ErrInvalidResponse, "an answer that names no request")
+	case success && !decoded.Signed:
+		return trace.Wrap(ErrInvalidResponse, "a success without its signature")
+	case decoded.Contradictory:
+		return trace.Wrap(ErrInvalidResponse, "status %d for a request that did not run", response.StatusCode)
 	default:
 		return nil
 	}
@@ -245,11 +257,11 @@
 }
 
 // Close returns the connection to the pool, for the next request, if the response was read completely, no surplus bytes
-// have arrived after it, the target has not announced that it closes the connection, and the context has not ended.
-// Otherwise it closes the connection.
+// have arrived after it and no response to another request before it, the target has not announced that it closes the
+// connection, and the context has not ended. Otherwise it closes the connection.
 func (r *TargetResponse) Close() {
 	r.once.Do(func() {
-		clean := r.stopCancel() && r.complete && !r.httpResponse.Close && r.conn.reader.Buffered() == 0
+		clean := r.stopCancel() && r.complete && !r.httpResponse.Close && r.conn.inTurn()
 		if !clean || r.ctx.Err() != nil {
 			r.pool.discard(r.conn)
 			return
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -127,11 +127,14 @@
 }
 
 // send sends a repeatable request with the ID r1 and returns the body of the response.
-func (s *scriptedTarget) send() (string, error) {
+func (s *scriptedTarget) send() (string, error) { return s.sendAs("r1") }
+
+// sendAs sends a repeatable request with the ID and returns the body of the response.
+func (s *scriptedTarget) sendAs(id string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	response, err := s.pool.Send(ctx, s.target, 10, &upstream.Request{
-		ID: "r1", Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("abc"), HasBody: true, Repeatable: true,
+		ID: id, Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, Body: []byte("abc"), HasBody: true, Repeatable: true,
 	})
 	if err != nil {
 		return "", err
@@ -179,21 +182,24 @@
 }
 
 func TestConnections(t *testing.T) {
-	complete := header + "Content-Length: 2\r\n\r\nok"
+	ids := []string{"r1", "r2", "r3"}
+	complete := func(id string) string {
+		return signed + standin.HeaderRequestID + ": " + id + "\r\nContent-Length: 2\r\n\r\nok"
+	}
 	Convey("A connection is reused after a complete response", t, func() {
-		s := newScriptedTarget(complete, complete, complete)
+		s := newScriptedTarget(complete("r1"), complete("r2"), complete("r3"))
 		defer s.close()
-		for range 3 {
-			_, err := s.send()
+		for _, id := range ids {
+			_, err := s.sendAs(id)
 			So(err, ShouldBeNil)
 		}
 		So(s.opened, ShouldEqual, 1)
 	})
 	Convey("A connection with bytes after its response is not reused", t, func() {
-		s := newScriptedTarget(complete+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", complete)
+		s := newScriptedTarget(complete("r1")+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", complete("r2"))
 		defer s.close()
-		for range 2 {
-			body, err := s.send()
+		for _, id := range ids[:2] {
+			body, err := s.sendAs(id)
 			So(err, ShouldBeNil)
 			So(body, ShouldEqual, "ok")
 		}
