Do not tell a caller "not run" because a target's status says so

Callers were told that a request of an unsafe route or of a stream that must not be taken up had not run, by status 408, 429 or 503, although the target had not said so and may have run it.

Cause: an answer with such a status but without the header that says "not run" was forwarded as any failure. Callers take the status alone for the promise.

Evidence: TestStatusWithoutItsHeader failed on the code before with 408, 429 and 503 in place of 502.

Change: such an answer ends as an unknown outcome, 502, unless the request may run more than once.

Measured: the test passes; a failure with the header is not affected.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -18,10 +18,16 @@
 )
 
 // forward forwards the response to the caller, event by event if it is a successful stream, or retries the request
-// after a complete response with a 5xx status. It releases the slot once the target's response has been received or has
+// after a complete response with a 5xx status. A status that tells the caller that its request did not run, although the
+// target does not say so, is not forwarded if the request must not run more than once. It releases the slot once the target's response has been received or has
 // failed.
 func (r *request) forward(ctx context.Context, cancel context.CancelFunc, slot *placement.Slot, response *upstream.TargetResponse) attemptResult {
 	success := response.Status >= 200 && response.Status < 300
+	if response.Decoded.Unexplained && !r.route.Repeatable() {
+		g := r.gateway
+		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Failed})
+		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonEngineFailed, "status "+strconv.Itoa(response.Status)+" of a target that may have run it")}
+	}
 	if r.route.Kind == catalog.KindStream && success {
 		return r.forwardStream(ctx, cancel, slot, response)
 	}
--- a/gateway/strays_test.go
+++ b/gateway/strays_test.go
@@ -217,3 +217,22 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestStatusWithoutItsHeader guards against callers that are told "not run" because a target answers a request that it ran
+// with a status that its header does not explain.
+func TestStatusWithoutItsHeader(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		Convey(fmt.Sprintf("A target runs requests and answers with status %d", status), t, func() {
+			s, runs := newStraySetup(func(e strayExchange) { e.begin(); e.answer(status) })
+			defer s.stop()
+			for _, path := range []string{"/book/x", "/chat/x"} {
+				id := "r" + path
+				got := s.send(id, "POST", path, "abc")
+				So(runs(id), ShouldEqual, 1)
+				So(got.status, ShouldEqual, http.StatusBadGateway)
+				So(got.header.Get(standin.HeaderSignature), ShouldBeEmpty)
+			}
+			So(s.send("safe", "GET", "/read/x", "").status, ShouldEqual, status)
+		})
+	}
+}
