Ignore the limit that another target at the address names

A target was assigned too few requests, by all entries: the limit of the target that has its address by now, named in the 421 with which that one turns requests away, was kept for it and reported to the others.

Evidence: TestLimitOfAnotherTarget failed on the code before, with limits of both targets in the state update.

Change: recordLimit ignores answers with status 421. Measured: the test passes.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,9 +13,9 @@
 const limitUnits = 1000
 
 // recordLimit records the limit that the response of the slot's target names or leaves out. A rejection may leave it out
-// while it is in force.
+// while it is in force, and one that another target gave at the address tells nothing.
 func (r *request) recordLimit(slot *placement.Slot, response platform.ResponseHeader) {
-	if response.NotRun && !response.HasLimit {
+	if response.Misdirected || response.NotRun && !response.HasLimit {
 		return
 	}
 	g := r.gateway
--- a/gateway/strays_test.go
+++ b/gateway/strays_test.go
@@ -15,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
+	"lovageshift"
 	"lovageshift/standin"
 )
 
@@ -236,3 +237,16 @@
 		})
 	}
 }
+
+// TestLimitOfAnotherTarget guards against a limit, in the answer of the target that has the address by now, that is kept for
+// the target that had it before.
+func TestLimitOfAnotherTarget(t *testing.T) {
+	Convey("A target at the address of another one names a limit", t, func() {
+		s, _ := newStraySetup(func(e strayExchange) {
+			_, _ = fmt.Fprintf(e, "HTTP/1.1 421 Misdirected\r\n%s: %s\r\n%s: 1\r\n%s: 0.5\r\nContent-Length: 0\r\n\r\n",
+				standin.HeaderRequestID, e.id, standin.HeaderNotRun, standin.HeaderLimit)
+		})
+		defer s.stop()
+		So(s.gateway.StateUpdate(lovageshift.NewClock().Now()).Limits, ShouldBeEmpty)
+	})
+}
