Send nothing to a target that says in an answer that it leaves

Requests went to targets that leave until the store said so: nothing read the header by which a target says it itself.

Change: Server-Leaving is decoded in platform, and upstream reports the header of each response that comes from the target's incarnation, late, invalid and failed ones included. The scheduler takes the incarnation out of its group until the target starts anew, whatever its record says; a slot granted before, or by an entry that does not know, is not used. Entries tell one another for 10 s; what is only reported binds for 10 s. Refusals count leaving targets. Faults of the header are logged once for each target, header and fault.

limits_test.go: its simulation got hooks and frozen entries, which its own tests do not use.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	refused      *refusedRequests
 	suspects     *suspects
 	crashes      *crashes
+	loggedFaults *loggedFaults
 	outputs      *outputAverages
 	streams      *stream.Client
 	versions     *stream.Versions
@@ -117,14 +118,17 @@
 		retryBudget: retry.NewWindowBudget(options.Retry),
 		refused:     newRefusedRequests(),
 		suspects:    newSuspects(options.Log),
-		outputs:     newOutputAverages(),
-		streams:     stream.NewClient(options.Clock),
-		versions:    stream.NewVersions(options.FirstStart),
-		revocation:  options.Revocation,
+
+		loggedFaults: newLoggedFaults(),
+		outputs:      newOutputAverages(),
+		streams:      stream.NewClient(options.Clock),
+		versions:     stream.NewVersions(options.FirstStart),
+		revocation:   options.Revocation,
 	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
 	options.Tracker.OnChange(g.viewChanged)
+	g.pool.OnResponse(g.observe)
 	return g
 }
 
@@ -162,8 +166,8 @@
 		case <-levels.C:
 			g.sendLevels()
 		case <-expire.C:
-			if view := g.tracker.View(); view != nil {
-				g.pool.Expire(view.MaySend)
+			if g.tracker.View() != nil {
+				g.pool.Expire(g.maySend)
 			}
 		}
 	}
--- /dev/null
+++ b/gateway/notices_test.go
@@ -0,0 +1,63 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"lovageshift"
+	"lovageshift/standin"
+)
+
+// TestTargetThatSaysThatItLeaves guards against requests that reach a target after it has said in an answer that it leaves, while
+// its record still says that it is ready.
+func TestTargetThatSaysThatItLeaves(t *testing.T) {
+	paths := []string{"/read/x", "/book/x", "/chat/x", "/resume/x"}
+	for name, serve := range map[string]func(strayExchange){
+		"answers":  func(e strayExchange) { e.begin(); e.answer(http.StatusOK) },
+		"failures": func(e strayExchange) { e.begin(); e.answer(http.StatusInternalServerError) },
+		"refusals": func(e strayExchange) { e.refuse(e.id) },
+	} {
+		for i, path := range paths {
+			if name == "refusals" && i > 0 {
+				continue // each request waits for as long as it may
+			}
+			Convey("A target says that it leaves in "+name+" of "+path, t, func() {
+				s, targets := newStrayTargets(serve)
+				defer s.stop()
+				const says = standin.HeaderLeaving + ": 1\r\n"
+				sent := 0
+				send := func() result {
+					sent++
+					return s.send(fmt.Sprintf("r%d", sent), "POST", path, "abc")
+				}
+				leaving, staying, id := targets[0], targets[1], "i-0"
+				before := leaving.arrivals()
+				if send(); leaving.arrivals() == before {
+					leaving, staying, id = targets[1], targets[0], "i-1" // the one that is sent requests first
+				}
+				leaving.setExtra(says)
+				before = leaving.arrivals()
+				s.waitFor(func() bool { send(); return leaving.arrivals() > before })
+				before = leaving.arrivals()
+				others := staying.arrivals()
+				for range 5 {
+					send()
+				}
+				leaving.register(s, id, 1, 2)
+				for range 5 {
+					send()
+				}
+				So(leaving.arrivals(), ShouldEqual, before)
+				So(staying.arrivals(), ShouldBeGreaterThan, others)
+				So(s.gateway.StateUpdate(lovageshift.NewClock().Now()).LeavingTargets, ShouldHaveLength, 1)
+				leaving.setExtra("")
+				leaving.register(s, id, 2, 1)
+				staying.setExtra(says)
+				s.waitFor(func() bool { send(); return leaving.arrivals() > before })
+			})
+		}
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -310,7 +310,7 @@
 	if refusal := r.checkQuarantine(); refusal != nil {
 		return refusal
 	}
-	if !view.MaySend(slot.Target.ID, slot.Target.Born) {
+	if !g.maySend(slot.Target.ID, slot.Target.Born) {
 		return lovageshift.NotRun(lovageshift.ReasonTargetLeaving, "the target is leaving")
 	}
 	return nil
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -30,6 +30,7 @@
 		update.Cold = append(update.Cold, uint32(hash))
 		update.ColdMillis = append(update.ColdMillis, uint32(left))
 	}
+	update.LeavingTargets = leavingMessages(g.scheduler.Leaving(now))
 	update.Limits = limitMessages(g.scheduler.Limits(now))
 	g.streams.Report(now, update)
 	for _, use := range g.meter.Usages(now) {
@@ -78,6 +79,7 @@
 	if len(update.Cold) > 0 {
 		g.scheduler.MergeCold(now, coldTargets(update))
 	}
+	g.mergeLeaving(now, from, update.LeavingTargets)
 	if len(update.Limits) > 0 {
 		g.scheduler.MergeLimits(now, limitReports(update.Limits))
 	}
--- a/gateway/strays_test.go
+++ b/gateway/strays_test.go
@@ -31,6 +31,8 @@
 	ran map[string]int
 	// arrived counts the requests that arrived.
 	arrived int
+	// extra are header lines in all answers and refusals.
+	extra string
 	// refused is the id of the request that was refused last.
 	refused string
 }
@@ -52,7 +54,7 @@
 	if id != "" {
 		line = standin.HeaderRequestID + ": " + id + "\r\n"
 	}
-	_, _ = fmt.Fprintf(e, "HTTP/1.1 503 Refused\r\n%s%s: 1\r\nContent-Length: 0\r\n\r\n", line, standin.HeaderNotRun)
+	_, _ = fmt.Fprintf(e, "HTTP/1.1 503 Refused\r\n%s%s: 1\r\n%sContent-Length: 0\r\n\r\n", line, standin.HeaderNotRun, e.target.extraLines())
 }
 
 // begin runs the request.
@@ -68,8 +70,8 @@
 	if e.stream {
 		body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	}
-	_, _ = fmt.Fprintf(e, "HTTP/1.1 %d Status\r\n%s: s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		status, standin.HeaderSignature, standin.HeaderRequestID, e.id, len(body), body)
+	_, _ = fmt.Fprintf(e, "HTTP/1.1 %d Status\r\n%s: s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, standin.HeaderSignature, standin.HeaderRequestID, e.id, e.target.extraLines(), len(body), body)
 }
 
 func newStrayTarget(serve func(strayExchange)) *strayTarget {
@@ -124,11 +126,29 @@
 	return t.refused
 }
 
-// isUsed reports whether a request has arrived.
-func (t *strayTarget) isUsed() bool {
+// arrivals returns how many requests have arrived.
+func (t *strayTarget) arrivals() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.arrived > 0
+	return t.arrived
+}
+
+func (t *strayTarget) extraLines() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.extra
+}
+
+func (t *strayTarget) setExtra(lines string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.extra = lines
+}
+
+// register puts the target's record into the store.
+func (t *strayTarget) register(s *setup, id string, born, sequence int64) {
+	replica := plainReplica(id)
+	s.store.Put(replica.Key(), replica.Record(standin.Registration{Address: t.listener.Addr().String(), Zone: "zone-a", Born: born, Sequence: sequence}))
 }
 
 // runs returns how often the request with the id was run.
@@ -138,14 +158,19 @@
 	return t.ran[id]
 }
 
-// newStraySetup returns an entry with two such targets.
+// newStraySetup returns an entry with two such targets, and a function that returns how often they ran a request.
 func newStraySetup(serve func(strayExchange)) (*setup, func(id string) int) {
+	s, targets := newStrayTargets(serve)
+	return s, func(id string) int { return targets[0].runs(id) + targets[1].runs(id) }
+}
+
+// newStrayTargets returns an entry and the two targets that it sends requests to.
+func newStrayTargets(serve func(strayExchange)) (*setup, []*strayTarget) {
 	s := newSetup()
 	var targets []*strayTarget
 	for i := range 2 {
 		target := newStrayTarget(serve)
-		replica := plainReplica(fmt.Sprintf("i-%d", i))
-		s.store.Put(replica.Key(), replica.Record(standin.Registration{Address: target.listener.Addr().String(), Zone: "zone-a", Born: 1, Sequence: 1}))
+		target.register(s, fmt.Sprintf("i-%d", i), 1, 1)
 		targets = append(targets, target)
 	}
 	stop := s.stop
@@ -159,9 +184,9 @@
 	s.waitFor(func() bool {
 		sent++
 		s.send(fmt.Sprintf("first-%d", sent), "GET", "/read/x", "")
-		return targets[0].isUsed() && targets[1].isUsed()
+		return targets[0].arrivals()+targets[1].arrivals() > 0
 	})
-	return s, func(id string) int { return targets[0].runs(id) + targets[1].runs(id) }
+	return s, targets
 }
 
 // TestRefusalsOfEarlierRequests guards against callers that are told "not run" of a request that ran, and against unsafe
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -146,6 +146,7 @@
 		targets int
 		reason  string
 	}{
+		{o.Leaving, "leaving"},
 		{o.Tried, "tried before"},
 		{o.Backoff, "in backoff"},
 		{o.MayHaveRestarted, "may have restarted"},
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -34,6 +34,8 @@
 // Obstacles counts the targets of a group that can run a refused job, by what kept the job from them. A target counts under
 // the first that applies, in the order of the fields.
 type Obstacles struct {
+	// Leaving have said in a response that they leave.
+	Leaving int
 	// Tried had been assigned to the job before. Backoff have lately refused a request or a connection. MayHaveRestarted may
 	// have another software version by now than the job needs.
 	Tried, Backoff, MayHaveRestarted int
@@ -59,6 +61,11 @@
 // obstacles returns what keeps the waiter's job from the targets of its group.
 func (s *Scheduler) obstacles(now lovageshift.Millis, w *Waiter) Obstacles {
 	var o Obstacles
+	for _, t := range s.leavingTargets[w.group] {
+		if w.job.fits(t) {
+			o.Leaving++
+		}
+	}
 	for _, t := range s.groups[w.group] {
 		if !w.job.fits(t) {
 			continue
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -9,7 +9,6 @@
 
 	"lovageshift"
 	"lovageshift/catalog"
-	"lovageshift/membership"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,13 +58,18 @@
 	// quorum reports whether more than half of the known entries, this one included, are live for this entry. Cold
 	// targets are assigned only then: entries cut off from each other cannot both have a quorum, so no other entry
 	// coordinates the same groups for long.
-	quorum          bool
+	quorum bool
+	// view is the view set last, nil before the first.
+	view            *catalog.View
 	targets         map[lovageshift.TargetID]*targetState
 	byHash          map[TargetHash]*targetState
 	groups          map[GroupID][]*targetState
 	groupsByService map[catalog.ServiceID][]GroupID
 	queues          map[GroupID]*queue
-	averages        map[catalog.ServiceID]*serviceAverages
+	// leaving holds the incarnations that leave, leavingTargets those of each group that have a state.
+	leaving        map[incarnation]*leavingState
+	leavingTargets map[GroupID][]*targetState
+	averages       map[catalog.ServiceID]*serviceAverages
 	// peerTimeout is how long another entry's load and reservations count after peerSeenAt.
 	peerTimeout lovageshift.Millis
 	// peerSeenAt is when each other entry last sent a state update or a new, not repeated, request for a slot.
@@ -90,6 +94,8 @@
 		groups:          map[GroupID][]*targetState{},
 		groupsByService: map[catalog.ServiceID][]GroupID{},
 		queues:          map[GroupID]*queue{},
+		leaving:         map[incarnation]*leavingState{},
+		leavingTargets:  map[GroupID][]*targetState{},
 		averages:        map[catalog.ServiceID]*serviceAverages{},
 		peerSeenAt:      map[netip.Addr]lovageshift.Millis{},
 		reservations:    map[reservationKey]*reservation{},
@@ -112,6 +118,7 @@
 func (s *Scheduler) SetView(now lovageshift.Millis, view *catalog.View) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.view = view
 	for id, registered := range view.Targets {
 		s.setTarget(view, id, registered)
 	}
@@ -155,8 +162,8 @@
 }
 
 // regroup divides each service's targets into groups by rendezvous hashing, so that few targets change their group when
-// the number of groups changes. Targets that must not get new requests (see catalog.View.MaySend) count toward the
-// number of groups, but are put into none.
+// the number of groups changes. Targets that must not get new requests (see catalog.View.MaySend) or have said that they
+// leave count toward the number of groups, but are put into none.
 func (s *Scheduler) regroup(view *catalog.View) {
 	counts := map[catalog.ServiceID]int{}
 	for _, t := range s.targets {
@@ -169,11 +176,17 @@
 		}
 	}
 	clear(s.groups)
+	clear(s.leavingTargets)
 	for id, t := range s.targets {
-		if view.MaySend(id, t.Born) {
-			group := membership.OwnerOf(string(id), s.groupsByService[t.Service], func(g GroupID) string { return string(g) })
-			s.groups[group] = append(s.groups[group], t)
+		if !view.MaySend(id, t.Born) {
+			continue
 		}
+		members := s.groups
+		if s.isLeaving(t) {
+			members = s.leavingTargets
+		}
+		group := s.groupOf(t)
+		members[group] = append(members[group], t)
 	}
 	for _, list := range s.groups {
 		slices.SortFunc(list, func(a, b *targetState) int { return cmp.Compare(a.ID, b.ID) })
@@ -193,6 +206,7 @@
 	if now-s.sweptAt > sweepIntervalMillis {
 		s.sweptAt = now
 		s.sweep(now)
+		s.sweepLeaving(now)
 	}
 	s.assignAll(now, everyWaiter)
 }
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -8,7 +8,7 @@
 )
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
-// this entry does not know the target's incarnation, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
+// this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
 // the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
@@ -17,6 +17,9 @@
 	if t == nil || t.Born != grant.Born {
 		return nil, ErrUnknownTarget
 	}
+	if s.isLeaving(t) {
+		return nil, ErrLeaving
+	}
 	if !job.fits(t) || job.HasVersion && t.mayHaveRestarted(now) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
@@ -32,6 +35,7 @@
 // Errors of AcquireGranted.
 var (
 	ErrUnknownTarget = errors.New("the slot is at an unknown target")
+	ErrLeaving       = errors.New("the target of the slot leaves")
 	ErrOtherVersion  = errors.New("the target has another version of its software than the job needs")
 	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
 )
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -74,7 +74,7 @@
 			return c.submitLocally(ctx, group, c.roleIn(group), job)
 		}
 		decision, err := c.requestSlot(ctx, coordinator, group, job)
-		for errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) {
+		for isTargetUnusable(err) {
 			decision, err = c.requestSlot(ctx, coordinator, group, job)
 		}
 		if err == nil {
@@ -85,6 +85,12 @@
 	return c.submitLocally(ctx, group, placement.Other, job)
 }
 
+// isTargetUnusable reports whether the error of AcquireGranted is that of a target which the coordinator may grant because it
+// knows less of it than this entry.
+func isTargetUnusable(err error) bool {
+	return errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) || errors.Is(err, placement.ErrLeaving)
+}
+
 // submitLocally queues the job at this entry's own scheduler and waits for the decision or the end of the context.
 func (c *Client) submitLocally(ctx context.Context, group placement.GroupID, role placement.Role, job *placement.Job) placement.Decision {
 	decided := make(chan placement.Decision, 1)
@@ -320,6 +326,7 @@
 	return &wire.Obstacles{
 		Tried: uint32(o.Tried), Backoff: uint32(o.Backoff), MayHaveRestarted: uint32(o.MayHaveRestarted),
 		Cold: uint32(o.Cold), Limited: uint32(o.Limited), Full: uint32(o.Full), Free: uint32(o.Free),
+		Leaving: uint32(o.Leaving),
 	}
 }
 
@@ -328,5 +335,6 @@
 	return placement.Obstacles{
 		Tried: int(m.GetTried()), Backoff: int(m.GetBackoff()), MayHaveRestarted: int(m.GetMayHaveRestarted()),
 		Cold: int(m.GetCold()), Limited: int(m.GetLimited()), Full: int(m.GetFull()), Free: int(m.GetFree()),
+		Leaving: int(m.GetLeaving()),
 	}
 }
--- a/reservation/limits_test.go
+++ b/reservation/limits_test.go
@@ -38,6 +38,7 @@
 	contact                   lovageshift.Millis
 	oldBuilds                 int                // entries that know of no limits
 	faultEvery                lovageshift.Millis // mean time between restarts and cuts of entries, 0 for none
+	freezes                   bool               // entries freeze, too
 }
 
 const (
@@ -60,6 +61,7 @@
 	client    *reservation.Client
 	cutFrom   lovageshift.Millis
 	cutTo     lovageshift.Millis
+	frozenTo  lovageshift.Millis // it does nothing before
 	faultAt   lovageshift.Millis // the end of its last fault
 	next      int                // the next receiver of an update
 	notified  map[int]lovageshift.Millis
@@ -80,6 +82,9 @@
 	all      []*limitEntry
 	arrivals []limitArrival
 	group    errgroup.Group
+	// serveOne sends one request, mergeUpdate applies what one entry tells another in a state update.
+	serveOne    func(e *limitEntry, started, service lovageshift.Millis)
+	mergeUpdate func(now lovageshift.Millis, from, to *placement.Scheduler)
 }
 
 func (e *limitEntry) Self() netip.Addr                            { return e.self }
@@ -103,7 +108,7 @@
 	return now < e.cutTo && now-e.cutFrom >= atLeast
 }
 
-// Send delivers a packet after a millisecond, unless it is lost.
+// Send delivers a packet after a millisecond, or once the receiver is not frozen any more, unless it is lost.
 func (e *limitEntry) Send(to netip.Addr, packet *wire.EntryPacket) {
 	s := e.sim
 	s.mutex.Lock()
@@ -111,11 +116,12 @@
 	index := slices.IndexFunc(s.all, func(other *limitEntry) bool { return other.self == to })
 	receiver := s.all[index]
 	lost := e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.02
+	delay := max(receiver.frozenTo-now, 0) + 1
 	s.mutex.Unlock()
 	if lost {
 		return
 	}
-	time.AfterFunc(time.Millisecond, func() {
+	time.AfterFunc(delay.Duration(), func() {
 		s.mutex.Lock()
 		client := receiver.client
 		s.mutex.Unlock()
@@ -140,6 +146,8 @@
 		id := lovageshift.TargetID(fmt.Sprintf("t-%d", i))
 		byID[id] = &catalog.Target{ID: id, Service: pool, Slots: 8, Address: "10.0.0.1:1"}
 	}
+	sim.serveOne = sim.serve
+	sim.mergeUpdate = func(now lovageshift.Millis, from, to *placement.Scheduler) { to.MergeLimits(now, from.Limits(now)) }
 	sim.view = catalog.NewView(catalog.New(1, catalog.Limits{}, []*catalog.Service{{ID: pool, Engine: true}}, nil, nil), byID, nil)
 	for i := range s.entries {
 		e := &limitEntry{sim: sim, number: i, self: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), old: i < s.oldBuilds, next: i}
@@ -168,6 +176,7 @@
 // tick lets an entry's scheduler judge its queue and sends its updates.
 func (s *limitSimulation) tick(e *limitEntry, started lovageshift.Millis) {
 	for step := 0; s.running(started); step++ {
+		e.awaitThaw()
 		s.mutex.Lock()
 		scheduler := e.scheduler
 		s.mutex.Unlock()
@@ -175,14 +184,24 @@
 		scheduler.Tick(now)
 		if step%5 == 0 {
 			scheduler.SetEntries(s.entries, len(e.Live())+1, 0)
-			s.sendUpdate(now, e, scheduler.Limits(now))
+			s.sendUpdate(now, e, scheduler)
 		}
 		time.Sleep(limitUpdateMillis.Duration() / 5)
 	}
 }
 
-// sendUpdate sends the limits to the entries whose turn it is.
-func (s *limitSimulation) sendUpdate(now lovageshift.Millis, e *limitEntry, limits []placement.LimitReport) {
+// awaitThaw returns once the entry is not frozen.
+func (e *limitEntry) awaitThaw() {
+	e.sim.mutex.Lock()
+	left := e.frozenTo - e.sim.clock.Now()
+	e.sim.mutex.Unlock()
+	if left > 0 {
+		time.Sleep(left.Duration())
+	}
+}
+
+// sendUpdate sends an update to the entries whose turn it is.
+func (s *limitSimulation) sendUpdate(now lovageshift.Millis, e *limitEntry, own *placement.Scheduler) {
 	for range min(limitReceivers, s.entries-1) {
 		s.mutex.Lock()
 		e.next = (e.next + 1) % s.entries
@@ -191,10 +210,10 @@
 		}
 		receiver := s.all[e.next]
 		scheduler := receiver.scheduler
-		lost := receiver.old || e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.03
+		lost := receiver.old || now < receiver.frozenTo || e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.03
 		s.mutex.Unlock()
-		if !lost && len(limits) > 0 {
-			scheduler.MergeLimits(now, limits)
+		if !lost && !e.old {
+			s.mergeUpdate(now, own, scheduler)
 		}
 	}
 }
@@ -207,7 +226,7 @@
 		service := lovageshift.Millis(100 + s.random.IntN(400))
 		s.mutex.Unlock()
 		time.Sleep(time.Duration(pause * float64(time.Second)))
-		s.group.Go(func() error { s.serve(e, started, service); return nil })
+		s.group.Go(func() error { s.serveOne(e, started, service); return nil })
 	}
 }
 
@@ -254,16 +273,19 @@
 	scheduler.Release(s.clock.Now(), slot, placement.Result{Outcome: placement.Served, FirstEvent: 20})
 }
 
-// injectFaults restarts entries and cuts them off from the others.
+// injectFaults restarts and freezes entries, and cuts them off from the others.
 func (s *limitSimulation) injectFaults(started lovageshift.Millis) {
 	for s.faultEvery > 0 && s.running(started) {
 		s.mutex.Lock()
 		pause := s.random.ExpFloat64() * float64(s.faultEvery)
 		e := s.all[s.random.IntN(len(s.all))]
 		now := s.clock.Now()
-		if s.random.IntN(2) == 0 {
+		switch kind := s.random.IntN(2); {
+		case s.freezes && s.random.IntN(3) == 0:
+			e.frozenTo = now + 2500
+		case kind == 0:
 			e.restart(now)
-		} else {
+		default:
 			e.cutFrom, e.cutTo = now, now+2500
 			e.faultAt = e.cutTo
 		}
--- a/standin/headers.go
+++ b/standin/headers.go
@@ -14,6 +14,9 @@
 	// HeaderNotRun says that the target did not run the request and never will.
 	HeaderNotRun = "Lovageshift-Not-Executed"
 
+	// HeaderLeaving says that the target leaves.
+	HeaderLeaving = "Server-Leaving"
+
 	headerLastEvent = "Last-Event-Id"
 	headerResumes   = "Resumes"
 )
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 
 	"lovageshift"
 	"lovageshift/metrics"
+	"lovageshift/platform"
 )
 
 const (
@@ -44,6 +45,8 @@
 type Pool struct {
 	clock   lovageshift.Clock
 	metrics *metrics.Metrics
+	// onResponse is the function set by OnResponse.
+	onResponse func(id lovageshift.TargetID, born int64, header platform.ResponseHeader)
 
 	mutex sync.Mutex
 	// idle holds the idle connections of each target, the one used last at the end.
@@ -58,6 +61,34 @@
 	return &Pool{clock: clock, metrics: m, idle: map[connKey][]*conn{}, openCount: map[connKey]int{}, recent: newRecentIDs()}
 }
 
+// OnResponse sets the function that is called with the header of each response that comes from the incarnation of the target
+// to which its request was sent, also if the response is skipped or invalid. A response proves this by the ID of a request
+// that was sent there, and its status: another target answers with 421. Of interim responses, it gets the faults only. It
+// must be set before the first call of Send.
+func (p *Pool) OnResponse(f func(id lovageshift.TargetID, born int64, header platform.ResponseHeader)) {
+	p.onResponse = f
+}
+
+// report passes a response header to the function of OnResponse.
+func (p *Pool) report(key connKey, header platform.ResponseHeader) {
+	if p.onResponse != nil {
+		p.onResponse(key.id, key.born, header)
+	}
+}
+
+// isFrom reports whether the response comes from the incarnation of the target to which the request was sent.
+func (p *Pool) isFrom(key connKey, request *Request, header platform.ResponseHeader) bool {
+	switch {
+	case header.Misdirected, header.RequestID == "":
+		return false
+	case header.RequestID == request.ID:
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.recent.contains(key, header.RequestID)
+}
+
 // acquire returns an idle connection to the target that the request may use, or opens one. If limit connections are
 // open already (0 for no limit), acquire first closes the one that has been idle longest, or fails if none is idle. The
 // second result reports whether the connection has been used before.
--- a/upstream/recent.go
+++ b/upstream/recent.go
@@ -38,9 +38,15 @@
 		clear(r.current)
 		r.startedAt = now
 	}
+	isFirst := !r.contains(key, id)
+	r.current[hashSent(key, id)] = struct{}{}
+	return isFirst
+}
+
+// contains reports whether a request with the ID was lately sent to the target.
+func (r *recentIDs) contains(key connKey, id string) bool {
 	hash := hashSent(key, id)
 	_, isRecent := r.current[hash]
 	_, wasRecent := r.previous[hash]
-	r.current[hash] = struct{}{}
-	return !isRecent && !wasRecent
+	return isRecent || wasRecent
 }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -117,9 +117,14 @@
 		return nil, false, headerError(err)
 	}
 	if httpResponse.StatusCode < http.StatusOK {
+		p.report(c.key, platform.ResponseHeader{Faults: platform.MisplacedHeaders(httpResponse.Header, platform.FaultInterim)})
 		return nil, true, nil
 	}
 	decoded := platform.ParseResponseHeader(httpResponse.StatusCode, httpResponse.Header)
+	decoded.Faults = append(decoded.Faults, platform.MisplacedHeaders(httpResponse.Trailer, platform.FaultTrailer)...)
+	if p.isFrom(c.key, request, decoded) {
+		p.report(c.key, decoded)
+	}
 	if decoded.RequestID != "" && decoded.RequestID != request.ID {
 		return nil, true, skipLate(c, request, httpResponse)
 	}
