--- a/reservation/simulation_test.go
+++ b/reservation/simulation_test.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// An entry that is cut off counts as live for this long.
-	liveMillis lovageshift.Millis = 700
 	// Interval of an entry's ticks and of its state updates.
 	tickMillis   lovageshift.Millis = 20
 	updateMillis lovageshift.Millis = 100
--- a/standin/notices.go
+++ b/standin/notices.go
@@ -9,8 +9,7 @@
 )
 
 const (
-	headerLeaving     = "Server-Leaving"
-	headerNotExecuted = "Lovageshift-Not-Executed"
+	headerLeaving = "Server-Leaving"
 )
 
 // SetLeaving makes the replica say in all answers from now on that it leaves.
@@ -41,7 +40,7 @@
 func refuse(w http.ResponseWriter, received ReceivedRequest) {
 	header := w.Header()
 	header.Set(HeaderRequestID, received.ID)
-	header.Set(headerNotExecuted, "1")
+	header.Set(HeaderNotRun, "1")
 	if received.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(received.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -66,7 +65,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
-		HeaderRequestID, refused, headerNotExecuted)
+		HeaderRequestID, refused, HeaderNotRun)
 	_ = buffer.Flush()
 	time.Sleep(r.ServiceTime + time.Duration(r.EventCount)*r.EventInterval)
 	body := r.wholeBody(request)
