Ask targets of any service whether they have restarted

Cause: the question was for engines only, while streams may go on at any service's targets.

Change: all targets are asked; one that answers with status 400, 404 or 405 has no report and is not asked again.

--- a/gateway/incarnations.go
+++ b/gateway/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -37,9 +38,13 @@
 	askedAt := g.clock.Now()
 	born, err := upstream.Born(ctx, target)
 	detail := ""
-	if err != nil {
+	switch {
+	case errors.Is(err, upstream.ErrNoReport):
+		g.scheduler.RecordNoReport(target.ID, target.Born)
 		detail = oneLine(err.Error())
-	} else {
+	case err != nil:
+		detail = oneLine(err.Error())
+	default:
 		g.scheduler.ConfirmIncarnation(g.clock.Now(), askedAt, target.ID, born)
 	}
 	g.log.Info("incarnationChecked", "target", target.ID, "same", err == nil && born == target.Born, "afterMillis", g.clock.Now()-askedAt, "detail", detail)
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -5,17 +5,17 @@
 	"lovageshift/catalog"
 )
 
-// An engine that may have restarted is asked for its incarnation no more often than this.
+// A target that may have restarted is asked for its incarnation no more often than this.
 const incarnationCheckInterval lovageshift.Millis = 1000
 
-// Doubted returns the engines that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
+// Doubted returns the targets that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
 func (s *Scheduler) Doubted(now lovageshift.Millis) []*catalog.Target {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var doubted []*catalog.Target
 	for _, t := range s.targets {
 		due := t.checkedAt == 0 || now-t.checkedAt >= incarnationCheckInterval
-		if t.service.Engine && t.mayHaveRestarted(now) && due {
+		if t.mayHaveRestarted(now) && due && !t.noReport {
 			t.checkedAt = now
 			doubted = append(doubted, t.Target)
 		}
@@ -35,3 +35,13 @@
 	t.lostAt, t.lossColdUntil = 0, 0
 	s.assignService(now, t.Service)
 }
+
+// RecordNoReport records that the target's incarnation with the given start does not tell it when asked, so that it is not
+// asked again.
+func (s *Scheduler) RecordNoReport(id lovageshift.TargetID, born int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if t := s.targets[id]; t != nil && t.Born == born {
+		t.noReport = true
+	}
+}
--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -54,5 +54,7 @@
 		So(s.Doubted(1020), ShouldHaveLength, 1)
 		So(s.Doubted(1040), ShouldBeEmpty)
 		So(s.Doubted(2100), ShouldHaveLength, 1)
+		s.RecordNoReport("i-0", 7)
+		So(s.Doubted(3200), ShouldBeEmpty)
 	})
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -84,8 +84,9 @@
 	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
 	// then, and its new record may not have arrived.
 	lostAt lovageshift.Millis
-	// checkedAt is when the target was last asked for its incarnation, 0 for never.
+	// checkedAt is when the target was last asked for its incarnation, 0 for never, and noReport whether it does not tell.
 	checkedAt lovageshift.Millis
+	noReport  bool
 	// grantTimes are the times at which this entry granted slots at the target, to its own requests and to other
 	// entries'. If the service has a ColdPerSecond, they are also recorded while the target is not known to be cold, as
 	// it may turn out to have been cold then. belowColdLimit drops those older than coldWindow.
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -19,6 +20,9 @@
 	maxReportBytes = 64 << 10
 )
 
+// ErrNoReport is returned by Born if the target answers that it has no report, as targets of plain services do.
+var ErrNoReport = errors.New("the target has no report")
+
 // Born asks the target, on a connection of its own, when its present incarnation started, and returns the wall time in
 // milliseconds since the Unix epoch.
 func Born(ctx context.Context, target *catalog.Target) (int64, error) {
@@ -42,7 +46,11 @@
 	if err != nil {
 		return 0, headerError(err)
 	}
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed:
+		return 0, trace.Wrap(ErrNoReport, "status %d", response.StatusCode)
+	default:
 		return 0, trace.Wrap(ErrInvalidResponse, "status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
