Ask entries where streams began as well as recorders

Seen: streams that were taken up were refused as streamUnknown, without Retry-After if all recorders asked said that they did not know.

Cause: an entry that has just started, or has not heard of recorders for 8 s, takes it that there are none: it records streams at other entries, which nobody asks where recorders are in use, and asks entries only. And the entry that forwarded the first event, which remembers it, was never asked. "All that I know said no" counted as "nobody knows", and after three rounds of 40 ms.

Change: the recorders that keep the origin are asked first, as before, then those that may keep it and all live entries.

Cost, by counting in the code: nothing for a stream that one of its four recorders knows. For another, up to 110 questions at 103 entries in place of 8, once to each that answers, and as many answers.

--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -30,7 +30,7 @@
 }
 
 // findRelease finds the software version at which the caller's stream began if the request takes one up, and refuses the
-// request if it is not known.
+// request if it is not known. Others, or this entry later, may know it.
 func (r *request) findRelease(ctx context.Context) *lovageshift.Refusal {
 	if r.headers.LastEventID == "" || r.route.Kind != catalog.KindStream {
 		return nil
@@ -39,22 +39,16 @@
 	if err == nil && origin.Service != r.service {
 		return lovageshift.NotRun(lovageshift.ReasonStreamUnknown, "the stream began at another service")
 	}
-	if err == nil {
-		r.release, r.hasRelease = origin.Version, true
-		return nil
+	known := err == nil
+	r.release = origin.Version
+	if !known && !errors.Is(err, stream.ErrUndecided) {
+		r.release, known = r.onlyRelease(ctx)
 	}
-	if errors.Is(err, stream.ErrUndecided) {
+	r.hasRelease = known
+	if !known {
 		return lovageshift.NotRun(lovageshift.ReasonStreamUnknown, err.Error()).WithRetryAfter(shortRetryAfter)
 	}
-	if only, known := r.onlyRelease(ctx); known {
-		r.release, r.hasRelease = only, true
-		return nil
-	}
-	refusal := lovageshift.NotRun(lovageshift.ReasonStreamUnknown, err.Error())
-	if errors.Is(err, stream.ErrNoAnswer) {
-		refusal = refusal.WithRetryAfter(shortRetryAfter)
-	}
-	return refusal
+	return nil
 }
 
 // onlyRelease returns the only software version at which the caller's stream can have begun, and false if there may be several.
--- a/stream/client.go
+++ b/stream/client.go
@@ -15,19 +15,21 @@
 )
 
 const (
-	// How long to wait for the answers of recorders before they are asked again, and how often they are asked. While the version
-	// is undecided they are asked for as long as there is time, at intervals that grow to maxAskInterval.
+	// How long to wait for answers before the same are asked again, and how often they are asked. While the version is undecided,
+	// or this entry has just started, they are asked for as long as there is time, at intervals that grow to maxAskInterval.
 	askInterval    = 40 * time.Millisecond
 	askRounds      = 3
 	maxAskInterval = 320 * time.Millisecond
+	// An entry that has just started knows the recorders in use and the other entries after this time.
+	settleMillis lovageshift.Millis = 1500
 	// Most other entries that are named to a recorder.
 	namedEntries = 8
 )
 
 var (
-	// ErrUnknown is returned by Client.Find if no recorder knows where the stream began.
+	// ErrUnknown is returned by Client.Find if no recorder and no entry knows where the stream began.
 	ErrUnknown = errors.New("no recorder knows which software version began the stream")
-	// ErrNoAnswer is returned by Client.Find if some recorders did not answer and the others do not know.
+	// ErrNoAnswer is returned by Client.Find if some of them did not answer and the others do not know.
 	ErrNoAnswer = errors.New("not all recorders answered which software version began the stream")
 	// ErrUndecided is returned by Client.Find if the version is not known yet, as the target may have started again.
 	ErrUndecided = errors.New("it is not known yet which software version began the stream")
@@ -48,6 +50,7 @@
 // Client records for an entry where streams began, and finds it. It is safe for concurrent use once SetPeers was called.
 type Client struct {
 	clock        lovageshift.Clock
+	startedAt    lovageshift.Millis
 	peers        Peers
 	ledger       *Ledger
 	recorders    *Recorders
@@ -68,7 +71,7 @@
 // NewClient returns a client that knows no streams and no recorders.
 func NewClient(clock lovageshift.Clock) *Client {
 	return &Client{
-		clock: clock, ledger: NewLedger(), recorders: NewRecorders(), incarnations: NewIncarnations(),
+		clock: clock, startedAt: clock.Now(), ledger: NewLedger(), recorders: NewRecorders(), incarnations: NewIncarnations(),
 		asking: map[AttemptHash][]chan answer{},
 	}
 }
@@ -121,45 +124,59 @@
 	return addresses
 }
 
-// Find returns where the attempt's stream began. It asks recorders if this entry does not know, at most until the context ends.
+// Find returns where the attempt's stream began. It asks the recorders that keep it if this entry does not know, and then all
+// recorders and entries: the entry that forwarded the first event remembers it too. It does so until the context ends at most.
 func (c *Client) Find(ctx context.Context, attempt string) (Origin, error) {
-	now := c.clock.Now()
 	hash := HashOf(attempt)
-	own, known := c.ledger.Find(now, hash)
+	own, known := c.ledger.Find(c.clock.Now(), hash)
 	if known {
 		if decided, ok := c.incarnations.Decide(own); ok {
 			return decided, nil
 		}
 	}
-	replicas, others := ReplicasOf(hash, c.addresses(now))
-	all := slices.Concat(replicas, others, c.recorders.Leaving(now))
-	answers, stop := c.ask(hash, askRounds*len(all)+1)
+	answers, stop := c.ask(hash)
 	defer stop()
 	s := &search{client: c, attempt: hash, answers: answers, answered: map[netip.Addr]bool{}, undecided: known, doubtful: own}
+	replicas, _ := ReplicasOf(hash, c.addresses(c.clock.Now()))
+	origin, found := s.askOnce(ctx, replicas, askInterval)
 	interval := askInterval
-	for round := 0; round < askRounds || s.undecided; round++ {
-		asked := all // the recorders in use may have changed since the stream began
-		if round == 0 {
-			asked = replicas
+	for round := 1; !found && (round < askRounds || c.mayLearn(s)) && ctx.Err() == nil; round++ {
+		all := c.allAddresses(hash) // which may have changed since the stream began
+		origin, found = s.askOnce(ctx, all, interval)
+		if !found && !c.mayLearn(s) && s.haveAnswered(all) {
+			return Origin{}, ErrUnknown
 		}
-		origin, found := s.askOnce(ctx, asked, interval)
-		switch {
-		case found:
-			return origin, nil
-		case s.undecided && ctx.Err() != nil:
-			return Origin{}, ErrUndecided
-		case s.undecided:
+		if round >= askRounds {
 			interval = min(2*interval, maxAskInterval)
-		case len(all) > 0 && len(s.answered) == len(all):
-			return Origin{}, ErrUnknown
 		}
 	}
-	return Origin{}, ErrNoAnswer
+	switch {
+	case found:
+		return origin, nil
+	case s.undecided:
+		return Origin{}, ErrUndecided
+	default:
+		return Origin{}, ErrNoAnswer
+	}
+}
+
+// mayLearn reports whether it helps to go on asking although nobody knows the origin now.
+func (c *Client) mayLearn(s *search) bool {
+	return s.undecided || c.clock.Now()-c.startedAt < settleMillis
+}
+
+// allAddresses returns the recorders that may keep the origin of the attempt's stream, and the other entries.
+func (c *Client) allAddresses(attempt AttemptHash) []netip.Addr {
+	now := c.clock.Now()
+	replicas, others := ReplicasOf(attempt, c.addresses(now))
+	all := slices.Concat(replicas, others, c.recorders.Leaving(now), c.peers.Live())
+	slices.SortFunc(all, netip.Addr.Compare)
+	return slices.Compact(all)
 }
 
 // ask registers a channel for the answers where the attempt's stream began. The returned function ends that.
-func (c *Client) ask(attempt AttemptHash, most int) (chan answer, func()) {
-	answers := make(chan answer, most)
+func (c *Client) ask(attempt AttemptHash) (chan answer, func()) {
+	answers := make(chan answer, len(c.peers.Live())+2*chosenCount)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.asking[attempt] = append(c.asking[attempt], answers)
--- a/stream/search.go
+++ b/stream/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lovageshift/wire"
@@ -44,7 +45,7 @@
 			return s.decide()
 		}
 	}
-	if s.undecided { // nothing changes at once
+	if s.client.mayLearn(s) { // but not at once
 		<-ctx.Done()
 	}
 	return s.decide()
@@ -72,3 +73,8 @@
 	}
 	return s.client.incarnations.Decide(s.doubtful)
 }
+
+// haveAnswered reports whether all of them answered that they do not know the stream.
+func (s *search) haveAnswered(addresses []netip.Addr) bool {
+	return !slices.ContainsFunc(addresses, func(address netip.Addr) bool { return !s.answered[address] })
+}
