--- a/soak/check.go
+++ b/soak/check.go
@@ -171,11 +171,10 @@
 	}
 }
 
-// checkRefusals checks only the requests that must not be repeated.
 func (c *checker) checkRefusals() {
 	for _, attempt := range c.Attempts {
 		ran := c.executions(attempt.Request.ID)
-		if attempt.ReportedNotRun() && !attempt.Repeatable() && len(ran) > 0 {
+		if attempt.ReportedNotRun() && len(ran) > 0 {
 			c.add(RefusedNotRun, "%s got status %d at %d ms and ran at %s at %d ms",
 				attempt.Request.ID, attempt.Reply.Status, attempt.Ended, ran[0].Target, ran[0].At)
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -67,6 +67,9 @@
 		{soak.RefusedNotRun, "/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
 			a.Reply = standin.Reply{Status: http.StatusServiceUnavailable, RequestID: "r-1", Complete: true}
 		}},
+		{soak.RefusedNotRun, "/read/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+			a.Reply = standin.Reply{Status: http.StatusServiceUnavailable, RequestID: "r-1", Complete: true}
+		}},
 		{soak.RequestUnchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Body = "other" }},
 		{soak.RequestUnchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Account = "small" }},
 		{soak.RequestUnchanged, "/book/", func(_ *soak.Attempt, a *soak.Arrival, _ *soak.History) { a.Authorization = "Token stable-key" }},
