Send nothing to a target within the time for which it wants no requests

Requests went on to a target every 50 ms after it had refused one with Retry-After: nothing read that header.

The entry that received it sends the incarnation nothing until the time is over, ten minutes at most, and then one request in 250 ms until one is accepted. It names such targets to the coordinator, returns a grant of one and asks again, and checks once more before it writes. If all targets are unavailable, a request waits for the first or, if that is too late for it, is refused at once with the time until then. Refusals, and so the line that explain shows, tell how many targets are unavailable and until when.

--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -48,7 +48,16 @@
 			g.log.Info("targetHeaderFault", "target", id, "header", fault.Header, "fault", fault.Kind)
 		}
 	}
-	if response.Leaving && g.scheduler.RecordLeaving(g.clock.Now(), id, born) {
+	now := g.clock.Now()
+	switch {
+	case response.RetryAfter > 0:
+		if until := g.scheduler.RecordUnavailable(now, id, born, response.RetryAfter); until > 0 {
+			g.log.Info("targetUnavailable", "target", id, "wantedMillis", response.RetryAfter, "forMillis", until, "request", response.RequestID)
+		}
+	case !response.NotRun && response.RequestID != "":
+		g.scheduler.RecordAccepted(now, id, born)
+	}
+	if response.Leaving && g.scheduler.RecordLeaving(now, id, born) {
 		g.log.Info("targetSaysLeaving", "target", id, "born", born, "request", response.RequestID)
 	}
 }
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -61,3 +62,46 @@
 		}
 	}
 }
+
+// TestTargetThatWantsNoRequests guards against requests that reach a target through an entry to which it has said, with a
+// refusal, for how long it wants none.
+func TestTargetThatWantsNoRequests(t *testing.T) {
+	Convey("A target refuses a request and wants none for a second, and another one serves them", t, func() {
+		s, targets := newStrayTargets(func(e strayExchange) {
+			if e.target.extraLines() != "" {
+				e.refuse(e.id)
+				return
+			}
+			e.begin()
+			e.answer(http.StatusOK)
+		})
+		defer s.stop()
+		sent := 0
+		send := func() result {
+			sent++
+			return s.send(fmt.Sprintf("r%d", sent), "POST", "/read/x", "abc")
+		}
+		full, other := targets[0], targets[1]
+		before := full.arrivals()
+		if send(); full.arrivals() == before {
+			full, other = targets[1], targets[0]
+		}
+		full.setExtra("Retry-After: 1.0\r\n")
+		before = full.arrivals()
+		s.waitFor(func() bool { send(); return full.arrivals() > before })
+		told := time.Now()
+		before = full.arrivals()
+		for time.Since(told) < 900*time.Millisecond {
+			So(send().status, ShouldEqual, http.StatusOK)
+		}
+		So(full.arrivals(), ShouldEqual, before)
+		other.setExtra("Retry-After: 5\r\n")
+		send()
+		got := send()
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+		full.setExtra("")
+		s.waitFor(func() bool { return send().status == http.StatusOK })
+		So(full.arrivals(), ShouldBeGreaterThan, before)
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -313,6 +313,9 @@
 	if !g.maySend(slot.Target.ID, slot.Target.Born) {
 		return lovageshift.NotRun(lovageshift.ReasonTargetLeaving, "the target is leaving")
 	}
+	if g.scheduler.IsUnavailable(g.clock.Now(), slot.Target.ID, slot.Target.Born) {
+		return lovageshift.NotRun(lovageshift.ReasonTargetOutOfService, "the target wants no requests for some time")
+	}
 	return nil
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -109,7 +109,7 @@
 	g := r.gateway
 	if refusal := r.recheck(slot); refusal != nil {
 		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Abandoned})
-		return attemptResult{refusal: refusal, notSent: true, final: refusal.Reason != lovageshift.ReasonTargetLeaving}
+		return attemptResult{refusal: refusal, notSent: true, final: !concernsTarget(refusal)}
 	}
 	r.summary.setTarget(slot)
 	r.summary.sentAt = g.clock.Now()
@@ -136,6 +136,11 @@
 	return r.forward(ctx, cancel, slot, response)
 }
 
+// concernsTarget reports whether a refusal of recheck is due to the target, so that another one may get the request.
+func concernsTarget(refusal *lovageshift.Refusal) bool {
+	return refusal.Reason == lovageshift.ReasonTargetLeaving || refusal.Reason == lovageshift.ReasonTargetOutOfService
+}
+
 // logResume logs that the request goes on with a stream, for its caller or after an earlier target of its own.
 func (r *request) logResume(slot *placement.Slot) {
 	if r.headers.LastEventID == "" && r.lastEventID == "" {
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -159,5 +159,8 @@
 			parts = append(parts, fmt.Sprintf("%d %s", count.targets, count.reason))
 		}
 	}
+	if o.Unavailable > 0 {
+		parts = append(parts, fmt.Sprintf("%d unavailable, the first for %d ms more", o.Unavailable, o.UnavailableFor))
+	}
 	return "targets: " + strings.Join(parts, ", ")
 }
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -52,12 +52,14 @@
 }
 
 // eligible reports whether a free target may get the waiter's job now: it can run the job and was not tried for it, it still has
-// capacity, it is within the limit that it named and, if it may be cold, the waiter may get a cold target, this entry has a
+// capacity, it wants requests of this entry if the job is one, it is within the limit that it named and, if it may be cold, the waiter may get a cold target, this entry has a
 // quorum and the target is below its cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
 	case !w.job.fits(t), w.job.HasVersion && t.mayHaveRestarted(now):
 		return false
+	case w.own && now < t.unavailable.openAt():
+		return false
 	case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
 		return false
 	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
@@ -75,10 +77,13 @@
 }
 
 // bestPrediction returns the prediction that a job's target has to fulfil if possible: the strictest one that some targets
-// of the group fulfil. Targets that are busy count too, but not those in a backoff.
-func (s *Scheduler) bestPrediction(now lovageshift.Millis, group GroupID, job *Job) prediction {
+// of the group fulfil. Targets that are busy count too, but not those in a backoff or, for this entry's own job, unavailable ones.
+func (s *Scheduler) bestPrediction(now lovageshift.Millis, group GroupID, job *Job, own bool) prediction {
 	for _, strict := range []prediction{(*targetState).onTime, (*targetState).completesInTime} {
 		for _, t := range s.groups[group] {
+			if own && now < t.unavailable.openAt() {
+				continue
+			}
 			if now >= t.backoffUntil && job.fits(t) && strict(t, now, job) {
 				return strict
 			}
--- a/placement/job.go
+++ b/placement/job.go
@@ -79,6 +79,8 @@
 type Waiter struct {
 	job   *Job
 	group GroupID
+	// own reports whether the job is one of this entry.
+	own bool
 	// number is the waiter's position in the order of submission to this scheduler.
 	number uint64
 	// done reports whether the waiter has left the queue, with or without a slot.
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -36,6 +36,9 @@
 type Obstacles struct {
 	// Leaving have said in a response that they leave.
 	Leaving int
+	// Unavailable want no requests from the entry of the job for some time, the first of them for UnavailableFor.
+	Unavailable    int
+	UnavailableFor lovageshift.Millis
 	// Tried had been assigned to the job before. Backoff have lately refused a request or a connection. MayHaveRestarted may
 	// have another software version by now than the job needs.
 	Tried, Backoff, MayHaveRestarted int
@@ -43,6 +46,14 @@
 	Cold, Limited, Full, Free int
 }
 
+// addUnavailable counts a target that is unavailable for the given time.
+func (o *Obstacles) addUnavailable(left lovageshift.Millis) {
+	if o.Unavailable == 0 || left < o.UnavailableFor {
+		o.UnavailableFor = left
+	}
+	o.Unavailable++
+}
+
 // newRefusal returns the refusal of a job that would have to wait for the expected time behind ahead others. RetryAfter
 // is spread at random by up to a quarter either way, so that requests refused together are not repeated together.
 func (s *Scheduler) newRefusal(now lovageshift.Millis, w *Waiter, expected lovageshift.Millis, ahead int) *Refusal {
@@ -61,11 +72,7 @@
 // obstacles returns what keeps the waiter's job from the targets of its group.
 func (s *Scheduler) obstacles(now lovageshift.Millis, w *Waiter) Obstacles {
 	var o Obstacles
-	for _, t := range s.leavingTargets[w.group] {
-		if w.job.fits(t) {
-			o.Leaving++
-		}
-	}
+	o.Leaving = s.countLeaving(w.group, w.job)
 	for _, t := range s.groups[w.group] {
 		if !w.job.fits(t) {
 			continue
@@ -73,6 +80,8 @@
 		switch {
 		case slices.Contains(w.job.Tried, HashOf(t.ID)):
 			o.Tried++
+		case w.own && now < t.unavailable.openAt():
+			o.addUnavailable(t.unavailable.openAt() - now)
 		case now < t.backoffUntil:
 			o.Backoff++
 		case w.job.HasVersion && t.mayHaveRestarted(now):
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -59,7 +59,7 @@
 	r := &reservation{job: job, at: now}
 	s.reservations[key] = r
 	submitting := true
-	r.waiter = s.submit(now, group, role, job, func(chosen *targetState, refusal *Refusal) {
+	r.waiter = s.submit(now, group, role, job, false, func(chosen *targetState, refusal *Refusal) {
 		r.reply = Reply{Refusal: refusal}
 		if chosen != nil {
 			r.target = chosen
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -69,7 +69,9 @@
 	// leaving holds the incarnations that leave, leavingTargets those of each group that have a state.
 	leaving        map[incarnation]*leavingState
 	leavingTargets map[GroupID][]*targetState
-	averages       map[catalog.ServiceID]*serviceAverages
+	// unavailable holds the incarnations that want no requests from this entry for some time, or are on trial since.
+	unavailable map[incarnation]*unavailableState
+	averages    map[catalog.ServiceID]*serviceAverages
 	// peerTimeout is how long another entry's load and reservations count after peerSeenAt.
 	peerTimeout lovageshift.Millis
 	// peerSeenAt is when each other entry last sent a state update or a new, not repeated, request for a slot.
@@ -79,6 +81,8 @@
 	endedAt map[reservationKey]lovageshift.Millis
 	// submitted counts the requests submitted so far, those of other entries included; it numbers the waiters.
 	submitted uint64
+	// tickedAt is when Tick was last called.
+	tickedAt lovageshift.Millis
 	// sweptAt is when sweep was last called.
 	sweptAt lovageshift.Millis
 }
@@ -96,6 +100,7 @@
 		queues:          map[GroupID]*queue{},
 		leaving:         map[incarnation]*leavingState{},
 		leavingTargets:  map[GroupID][]*targetState{},
+		unavailable:     map[incarnation]*unavailableState{},
 		averages:        map[catalog.ServiceID]*serviceAverages{},
 		peerSeenAt:      map[netip.Addr]lovageshift.Millis{},
 		reservations:    map[reservationKey]*reservation{},
@@ -145,6 +150,7 @@
 			// and so does maybeColdUntil.
 			fresh.grantTimes, fresh.maybeColdUntil = t.grantTimes, t.maybeColdUntil
 		}
+		fresh.unavailable = s.unavailable[fresh.incarnation()]
 		t = fresh
 		s.targets[id] = t
 		s.byHash[HashOf(id)] = t
@@ -198,6 +204,7 @@
 func (s *Scheduler) Tick(now lovageshift.Millis) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.tickedAt = now
 	for from, at := range s.peerSeenAt {
 		if now-at > s.peerTimeout {
 			s.forgetPeer(now, from)
@@ -207,6 +214,7 @@
 		s.sweptAt = now
 		s.sweep(now)
 		s.sweepLeaving(now)
+		s.sweepUnavailable(now)
 	}
 	s.assignAll(now, everyWaiter)
 }
@@ -225,7 +233,7 @@
 	total := 0.0
 	for i, group := range groups {
 		for _, t := range s.groups[group] {
-			if job.fits(t) {
+			if job.fits(t) && s.tickedAt >= t.unavailable.openAt() {
 				// A target without known free slots keeps a small weight, as other entries report the end of their requests only
 				// with a delay.
 				free[i] += float64(max(t.slots()-t.running(), 0)) + 0.1
@@ -256,7 +264,7 @@
 func (s *Scheduler) Submit(now lovageshift.Millis, group GroupID, role Role, job *Job, onDecision func(Decision)) *Waiter {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.submit(now, group, role, job, func(chosen *targetState, refusal *Refusal) {
+	return s.submit(now, group, role, job, true, func(chosen *targetState, refusal *Refusal) {
 		if chosen == nil {
 			onDecision(Decision{Refusal: refusal})
 			return
@@ -265,11 +273,12 @@
 	})
 }
 
-func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, role Role, job *Job, onDecision func(*targetState, *Refusal)) *Waiter {
+// submit queues a request, of this entry if own is set.
+func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, role Role, job *Job, own bool, onDecision func(*targetState, *Refusal)) *Waiter {
 	s.submitted++
 	w := &Waiter{
-		job: job, group: group, role: role, number: s.submitted, onDecision: onDecision,
-		wellEnough: s.bestPrediction(now, group, job),
+		job: job, group: group, role: role, own: own, number: s.submitted, onDecision: onDecision,
+		wellEnough: s.bestPrediction(now, group, job, own),
 	}
 	q := s.queues[group]
 	if q == nil {
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -8,7 +8,7 @@
 )
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
-// this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
+// this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrUnavailable if the target wants no requests from this entry now, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
 // the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
@@ -20,6 +20,9 @@
 	if s.isLeaving(t) {
 		return nil, ErrLeaving
 	}
+	if now < t.unavailable.openAt() {
+		return nil, ErrUnavailable
+	}
 	if !job.fits(t) || job.HasVersion && t.mayHaveRestarted(now) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
@@ -35,6 +38,7 @@
 // Errors of AcquireGranted.
 var (
 	ErrUnknownTarget = errors.New("the slot is at an unknown target")
+	ErrUnavailable   = errors.New("the target of the slot wants no requests from this entry for some time")
 	ErrLeaving       = errors.New("the target of the slot leaves")
 	ErrOtherVersion  = errors.New("the target has another version of its software than the job needs")
 	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
@@ -50,6 +54,9 @@
 		state:          chosen,
 	}
 	chosen.own++
+	if chosen.unavailable != nil {
+		chosen.unavailable.nextTrial = now + trialInterval
+	}
 	return slot
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -80,6 +80,8 @@
 	// connection to it failed or was lost, or another entry reported it as cold.
 	maybeColdUntil lovageshift.Millis
 	limit          limitState
+	// unavailable is the state of the target's incarnation in Scheduler.unavailable, nil if it has none.
+	unavailable *unavailableState
 	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
 	// then, and its new record may not have arrived.
 	lostAt lovageshift.Millis
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -67,6 +67,9 @@
 // Reserve waits until the job gets a slot or a refusal. The job is refused as soon as it is expected to get no slot by
 // its queue deadline, and when the context ends.
 func (c *Client) Reserve(ctx context.Context, job *placement.Job) placement.Decision {
+	if refusal := c.awaitAvailable(ctx, job); refusal != nil {
+		return placement.Decision{Refusal: refusal}
+	}
 	group := c.scheduler.PickGroup(job, rand.Float64())
 	for range maxCoordinators {
 		coordinator := c.coordinatorOf(group)
@@ -88,7 +91,8 @@
 // isTargetUnusable reports whether the error of AcquireGranted is that of a target which the coordinator may grant because it
 // knows less of it than this entry.
 func isTargetUnusable(err error) bool {
-	return errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) || errors.Is(err, placement.ErrLeaving)
+	return errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) ||
+		errors.Is(err, placement.ErrLeaving) || errors.Is(err, placement.ErrUnavailable)
 }
 
 // submitLocally queues the job at this entry's own scheduler and waits for the decision or the end of the context.
@@ -166,10 +170,10 @@
 			unanswered, interval = 0, refreshMillis
 			later := receive(ctx, replies, interval)
 			if later != nil && later.State != wire.ReserveState_RESERVE_STATE_QUEUED {
-				return c.accept(coordinator, id, job, later)
+				return c.accept(coordinator, id, group, job, later)
 			}
 		default:
-			return c.accept(coordinator, id, job, reply)
+			return c.accept(coordinator, id, group, job, reply)
 		}
 	}
 }
@@ -189,7 +193,7 @@
 // accept turns the coordinator's reply that a reservation is granted or refused into the decision on the job, and
 // acquires the slot if one is granted. If the slot cannot be used, it marks the target as tried and returns the error of
 // AcquireGranted.
-func (c *Client) accept(coordinator netip.Addr, id uint64, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
+func (c *Client) accept(coordinator netip.Addr, id uint64, group placement.GroupID, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
 	now := c.clock.Now()
 	if reply.State == wire.ReserveState_RESERVE_STATE_REFUSED {
 		reason := lovageshift.ReasonShed
@@ -199,7 +203,7 @@
 		return placement.Decision{Refusal: &placement.Refusal{
 			Reason: reason, RetryAfter: lovageshift.Millis(reply.RetryAfterMillis), Waited: now - job.Arrived,
 			ExpectedWait: lovageshift.Millis(reply.ExpectedMillis), Ahead: int(reply.Ahead),
-			Obstacles: obstaclesOf(reply.Obstacles),
+			Obstacles: c.scheduler.ExplainRefusal(now, group, job, obstaclesOf(reply.Obstacles)),
 		}}, nil
 	}
 	grant := placement.Reply{
@@ -236,8 +240,10 @@
 	if job.Deadline > 0 {
 		message.DeadlineMillis = max(int64(job.Deadline-now), 1)
 	}
-	for _, hash := range job.Tried {
-		message.Tried = append(message.Tried, uint32(hash))
+	for _, hashes := range [][]placement.TargetHash{job.Tried, c.scheduler.Unusable(now, group)} {
+		for _, hash := range hashes {
+			message.Tried = append(message.Tried, uint32(hash))
+		}
 	}
 	return message
 }
@@ -326,7 +332,7 @@
 	return &wire.Obstacles{
 		Tried: uint32(o.Tried), Backoff: uint32(o.Backoff), MayHaveRestarted: uint32(o.MayHaveRestarted),
 		Cold: uint32(o.Cold), Limited: uint32(o.Limited), Full: uint32(o.Full), Free: uint32(o.Free),
-		Leaving: uint32(o.Leaving),
+		Leaving: uint32(o.Leaving), Unavailable: uint32(o.Unavailable), UnavailableMillis: uint32(o.UnavailableFor),
 	}
 }
 
@@ -335,6 +341,6 @@
 	return placement.Obstacles{
 		Tried: int(m.GetTried()), Backoff: int(m.GetBackoff()), MayHaveRestarted: int(m.GetMayHaveRestarted()),
 		Cold: int(m.GetCold()), Limited: int(m.GetLimited()), Full: int(m.GetFull()), Free: int(m.GetFree()),
-		Leaving: int(m.GetLeaving()),
+		Leaving: int(m.GetLeaving()), Unavailable: int(m.GetUnavailable()), UnavailableFor: lovageshift.Millis(m.GetUnavailableMillis()),
 	}
 }
