Reset the connection of a request that is given up

Cause: the entry was cut off with the request half on its way, gave it up and closed the connection. What the target had not received yet stayed queued behind the close, and was delivered when the cut had healed: a request that had ended could still run.

Change: a connection that is closed in the middle of a request is reset, which discards what was not delivered.

Measured: TestRequestThatWasGivenUpDoesNotReachItsTargetLater: the target saw an orderly end before, and sees a reset now.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -182,6 +183,15 @@
 	}
 }
 
+// abort closes a connection in the middle of a request. It resets the connection, so that what the target has not received yet,
+// as the network held it up, does not reach it later.
+func (p *Pool) abort(c *conn) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
+	p.discard(c)
+}
+
 func (p *Pool) discard(c *conn) {
 	_ = c.Close()
 	p.removeOpen(c.key)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -83,7 +83,7 @@
 	response, err := p.roundTrip(c, request)
 	if err != nil {
 		stopCancel()
-		p.discard(c)
+		p.abort(c)
 		if reused {
 			return nil, trace.Wrap(err, "on a kept connection")
 		}
@@ -267,6 +267,10 @@
 func (r *TargetResponse) Close() {
 	r.once.Do(func() {
 		clean := r.stopCancel() && r.complete && !r.httpResponse.Close && r.conn.inTurn()
+		if !r.complete {
+			r.pool.abort(r.conn)
+			return
+		}
 		if !clean || r.ctx.Err() != nil {
 			r.pool.discard(r.conn)
 			return
