--- a/reservation/leaving_test.go
+++ b/reservation/leaving_test.go
@@ -79,20 +79,20 @@
 }
 
 // changeViews gives each entry another view now and then.
-func (s *leavingSimulation) changeViews(e *limitEntry, started lovageshift.Millis) {
-	for s.running(started) {
+func (s *leavingSimulation) changeViews(e *simEntry) {
+	for s.running() {
 		time.Sleep(viewEvery.Duration())
 		e.awaitThaw()
 		s.mutex.Lock()
 		scheduler, state := e.scheduler, s.random.IntN(4)
 		s.mutex.Unlock()
 		now := s.clock.Now()
-		scheduler.SetView(now, s.viewAt(now-started, state))
+		scheduler.SetView(now, s.viewAt(now-s.started, state))
 	}
 }
 
 // serveLeaving sends one request, as a gateway does: what is known of the target is checked again just before.
-func (s *leavingSimulation) serveLeaving(e *limitEntry, started, service lovageshift.Millis) {
+func (s *leavingSimulation) serveLeaving(e *simEntry, service lovageshift.Millis) {
 	s.mutex.Lock()
 	client, scheduler := e.client, e.scheduler
 	s.mutex.Unlock()
@@ -110,7 +110,7 @@
 		return
 	}
 	s.mutex.Lock()
-	since := s.clock.Now() - started
+	since := s.elapsed()
 	if s.isLeaving(id) {
 		key := toldKey{scheduler, id, born}
 		s.count(key, since, born, e.old)
@@ -118,7 +118,7 @@
 	s.mutex.Unlock()
 	time.Sleep(20 * time.Millisecond)
 	e.awaitThaw()
-	since = s.clock.Now() - started
+	since = s.elapsed()
 	if s.isLeaving(id) && born == 0 && since >= saidMillis && !e.old {
 		scheduler.RecordLeaving(s.clock.Now(), id, born)
 		s.mutex.Lock()
@@ -147,9 +147,8 @@
 	var sim *leavingSimulation
 	synctest.Test(test, func(*testing.T) {
 		sim = newLeavingSimulation(s, tells, seed)
-		started := sim.clock.Now()
 		for _, e := range sim.all {
-			sim.group.Go(func() error { sim.changeViews(e, started); return nil })
+			sim.group.Go(func() error { sim.changeViews(e); return nil })
 		}
 		sim.run()
 	})
--- a/reservation/limits_test.go
+++ b/reservation/limits_test.go
@@ -3,22 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net/netip"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"lovageshift"
-	"lovageshift/catalog"
 	"lovageshift/placement"
-	"lovageshift/reservation"
-	"lovageshift/wire"
 )
 
 // From the contact time after it named a limit, a target may get in limitWindow limitOvershoot times what the limit allows and
@@ -42,31 +35,10 @@
 }
 
 const (
-	namedMillis       lovageshift.Millis = 1000
-	limitRunMillis    lovageshift.Millis = 11_000
-	limitUpdateMillis lovageshift.Millis = 100
-	limitReceivers                       = 17 // of an update
-	liveMillis        lovageshift.Millis = 700
+	namedMillis    lovageshift.Millis = 1000
+	limitRunMillis lovageshift.Millis = 11_000
 )
 
-// limitEntry is an entry whose incarnations follow one another. It is the Peers of each of them.
-type limitEntry struct {
-	sim    *limitSimulation
-	number int
-	self   netip.Addr
-	old    bool
-
-	// Guarded by sim.mutex.
-	scheduler *placement.Scheduler
-	client    *reservation.Client
-	cutFrom   lovageshift.Millis
-	cutTo     lovageshift.Millis
-	frozenTo  lovageshift.Millis // it does nothing before
-	faultAt   lovageshift.Millis // the end of its last fault
-	next      int                // the next receiver of an update
-	notified  map[int]lovageshift.Millis
-}
-
 // limitArrival is a request at a target through an entry that the rule covers.
 type limitArrival struct {
 	target int
@@ -75,163 +47,58 @@
 
 type limitSimulation struct {
 	limitScenario
-	clock    lovageshift.Clock
-	view     *catalog.View
-	mutex    sync.Mutex
-	random   *rand.Rand
-	all      []*limitEntry
-	arrivals []limitArrival
-	group    errgroup.Group
+	*simulation
+	arrivals []limitArrival // guarded by mutex
 	// serveOne sends one request, mergeUpdate applies what one entry tells another in a state update.
-	serveOne    func(e *limitEntry, started, service lovageshift.Millis)
+	serveOne    func(e *simEntry, service lovageshift.Millis)
 	mergeUpdate func(now lovageshift.Millis, from, to *placement.Scheduler)
 }
 
-func (e *limitEntry) Self() netip.Addr                            { return e.self }
-func (e *limitEntry) Processor(netip.Addr) lovageshift.Millicores { return 0 }
-
-// Live returns the entries that are not known to be cut off.
-func (e *limitEntry) Live() (others []netip.Addr) {
-	e.sim.mutex.Lock()
-	defer e.sim.mutex.Unlock()
-	now := e.sim.clock.Now()
-	for _, other := range e.sim.all {
-		known := e.isCutFor(now, liveMillis) || other.isCutFor(now, liveMillis)
-		if other != e && !known {
-			others = append(others, other.self)
-		}
-	}
-	return others
-}
-
-func (e *limitEntry) isCutFor(now, atLeast lovageshift.Millis) bool {
-	return now < e.cutTo && now-e.cutFrom >= atLeast
-}
-
-// Send delivers a packet after a millisecond, or once the receiver is not frozen any more, unless it is lost.
-func (e *limitEntry) Send(to netip.Addr, packet *wire.EntryPacket) {
-	s := e.sim
-	s.mutex.Lock()
-	now := s.clock.Now()
-	index := slices.IndexFunc(s.all, func(other *limitEntry) bool { return other.self == to })
-	receiver := s.all[index]
-	lost := e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.02
-	delay := max(receiver.frozenTo-now, 0) + 1
-	s.mutex.Unlock()
-	if lost {
-		return
-	}
-	time.AfterFunc(delay.Duration(), func() {
-		s.mutex.Lock()
-		client := receiver.client
-		s.mutex.Unlock()
-		client.HandlePacket(s.clock.Now(), e.self, packet)
-	})
-}
-
-// restart starts a new incarnation, which knows nothing of the one before. The caller must hold sim.mutex.
-func (e *limitEntry) restart(now lovageshift.Millis) {
-	e.scheduler = placement.NewScheduler(placement.ColdBounds{})
-	e.scheduler.SetEntries(e.sim.entries, e.sim.entries, 0)
-	e.scheduler.SetView(now, e.sim.view)
-	e.client = reservation.NewClient(e.scheduler, e.sim.clock, nil)
-	e.client.SetPeers(e)
-	e.faultAt, e.notified = now, map[int]lovageshift.Millis{}
-}
-
 func newLimitSimulation(s limitScenario, seed uint64) *limitSimulation {
-	sim := &limitSimulation{limitScenario: s, clock: lovageshift.NewClock(), random: rand.New(rand.NewPCG(seed, 2))}
-	byID := map[lovageshift.TargetID]*catalog.Target{}
-	for i := range s.targets {
-		id := lovageshift.TargetID(fmt.Sprintf("t-%d", i))
-		byID[id] = &catalog.Target{ID: id, Service: pool, Slots: 8, Address: "10.0.0.1:1"}
+	sim := &limitSimulation{
+		limitScenario: s, simulation: newSimulation(s.entries, s.oldBuilds, simTargets(s.targets, 8), limitRunMillis, seed),
 	}
 	sim.serveOne = sim.serve
 	sim.mergeUpdate = func(now lovageshift.Millis, from, to *placement.Scheduler) { to.MergeLimits(now, from.Limits(now)) }
-	sim.view = catalog.NewView(catalog.New(1, catalog.Limits{}, []*catalog.Service{{ID: pool, Engine: true}}, nil, nil), byID, nil)
-	for i := range s.entries {
-		e := &limitEntry{sim: sim, number: i, self: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), old: i < s.oldBuilds, next: i}
-		e.restart(0)
+	for _, e := range sim.all {
 		e.faultAt = -s.contact
-		sim.all = append(sim.all, e)
 	}
 	return sim
 }
 
 // run plays the scenario and returns once all requests have ended.
 func (s *limitSimulation) run() {
-	started := s.clock.Now()
 	for _, e := range s.all {
-		s.group.Go(func() error { s.tick(e, started); return nil })
-		s.group.Go(func() error { s.generate(e, started); return nil })
+		s.group.Go(func() error {
+			s.runTicks(e, func(now lovageshift.Millis, own *placement.Scheduler) { s.update(now, e, own) })
+			return nil
+		})
+		s.group.Go(func() error { s.generate(e); return nil })
 	}
-	s.group.Go(func() error { s.injectFaults(started); return nil })
+	s.group.Go(func() error { s.injectFaults(); return nil })
 	_ = s.group.Wait()
 }
 
-func (s *limitSimulation) running(started lovageshift.Millis) bool {
-	return s.clock.Now()-started < limitRunMillis
-}
-
-// tick lets an entry's scheduler judge its queue and sends its updates.
-func (s *limitSimulation) tick(e *limitEntry, started lovageshift.Millis) {
-	for step := 0; s.running(started); step++ {
-		e.awaitThaw()
-		s.mutex.Lock()
-		scheduler := e.scheduler
-		s.mutex.Unlock()
-		now := s.clock.Now()
-		scheduler.Tick(now)
-		if step%5 == 0 {
-			scheduler.SetEntries(s.entries, len(e.Live())+1, 0)
-			s.sendUpdate(now, e, scheduler)
-		}
-		time.Sleep(limitUpdateMillis.Duration() / 5)
-	}
-}
-
-// awaitThaw returns once the entry is not frozen.
-func (e *limitEntry) awaitThaw() {
-	e.sim.mutex.Lock()
-	left := e.frozenTo - e.sim.clock.Now()
-	e.sim.mutex.Unlock()
-	if left > 0 {
-		time.Sleep(left.Duration())
-	}
-}
-
-// sendUpdate sends an update to the entries whose turn it is.
-func (s *limitSimulation) sendUpdate(now lovageshift.Millis, e *limitEntry, own *placement.Scheduler) {
-	for range min(limitReceivers, s.entries-1) {
-		s.mutex.Lock()
-		e.next = (e.next + 1) % s.entries
-		if e.next == e.number {
-			e.next = (e.next + 1) % s.entries
-		}
-		receiver := s.all[e.next]
-		scheduler := receiver.scheduler
-		lost := receiver.old || now < receiver.frozenTo || e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < 0.03
-		s.mutex.Unlock()
-		if !lost && !e.old {
+// update applies what the entry tells the entries whose turn it is.
+func (s *limitSimulation) update(now lovageshift.Millis, e *simEntry, own *placement.Scheduler) {
+	s.sendUpdate(now, e, func(receiver *simEntry, scheduler *placement.Scheduler) {
+		if !receiver.old && !e.old {
 			s.mergeUpdate(now, own, scheduler)
 		}
-	}
+	})
 }
 
 // generate sends requests through an entry.
-func (s *limitSimulation) generate(e *limitEntry, started lovageshift.Millis) {
-	for s.running(started) {
-		s.mutex.Lock()
-		pause := s.random.ExpFloat64() / s.load
-		service := lovageshift.Millis(100 + s.random.IntN(400))
-		s.mutex.Unlock()
-		time.Sleep(time.Duration(pause * float64(time.Second)))
-		s.group.Go(func() error { s.serveOne(e, started, service); return nil })
+func (s *limitSimulation) generate(e *simEntry) {
+	for s.running() {
+		s.pause(time.Duration(float64(time.Second) / s.load))
+		service := lovageshift.Millis(100 + s.intN(400))
+		s.group.Go(func() error { s.serveOne(e, service); return nil })
 	}
 }
 
 // serve sends one request: it reserves a slot, reaches the target, gets a response header and later the end.
-func (s *limitSimulation) serve(e *limitEntry, started, service lovageshift.Millis) {
+func (s *limitSimulation) serve(e *simEntry, service lovageshift.Millis) {
 	s.mutex.Lock()
 	client, scheduler, notified := e.client, e.scheduler, e.notified
 	s.mutex.Unlock()
@@ -249,12 +116,12 @@
 	now = s.clock.Now()
 	notifiedAt, knows := notified[target]
 	if knows && now-notifiedAt >= notifiedMillis && !e.old && now-e.faultAt >= s.contact && now >= e.cutTo {
-		s.arrivals = append(s.arrivals, limitArrival{target, now - started})
+		s.arrivals = append(s.arrivals, limitArrival{target, now - s.started})
 	}
 	s.mutex.Unlock()
 	time.Sleep(20 * time.Millisecond)
 	now = s.clock.Now()
-	named := target < s.limited && now-started >= namedMillis
+	named := target < s.limited && now-s.started >= namedMillis
 	if named {
 		s.mutex.Lock()
 		if _, found := notified[target]; !found {
@@ -274,10 +141,9 @@
 }
 
 // injectFaults restarts and freezes entries, and cuts them off from the others.
-func (s *limitSimulation) injectFaults(started lovageshift.Millis) {
-	for s.faultEvery > 0 && s.running(started) {
+func (s *limitSimulation) injectFaults() {
+	for s.faultEvery > 0 && s.running() {
 		s.mutex.Lock()
-		pause := s.random.ExpFloat64() * float64(s.faultEvery)
 		e := s.all[s.random.IntN(len(s.all))]
 		now := s.clock.Now()
 		switch kind := s.random.IntN(2); {
@@ -286,11 +152,10 @@
 		case kind == 0:
 			e.restart(now)
 		default:
-			e.cutFrom, e.cutTo = now, now+2500
-			e.faultAt = e.cutTo
+			e.cut(now, 2500)
 		}
 		s.mutex.Unlock()
-		time.Sleep(time.Duration(pause * float64(time.Millisecond)))
+		s.pause(s.faultEvery.Duration())
 	}
 }
 
--- a/reservation/resumed_test.go
+++ b/reservation/resumed_test.go
@@ -149,7 +149,7 @@
 		view := s.view
 		s.mutex.Unlock()
 		for _, e := range s.all {
-			_, scheduler, _ := e.current()
+			_, scheduler := e.current()
 			scheduler.SetView(s.clock.Now(), view)
 		}
 	}
@@ -250,7 +250,7 @@
 
 // attempt requests a slot. After a refusal it waits for as long as the caller is told, and names another entry.
 func (s *resumeSimulation) attempt(e **simEntry, job placement.Job) *heldSlot {
-	client, scheduler, _ := (*e).current()
+	client, scheduler := (*e).current()
 	ctx, cancel := context.WithTimeout(context.Background(), (job.Deadline - s.clock.Now()).Duration())
 	defer cancel()
 	job.Service, job.Arrived, job.Objective = pool, s.clock.Now(), objective
--- a/reservation/simulation_test.go
+++ b/reservation/simulation_test.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// An entry that is cut off counts as live for this long.
+	liveMillis lovageshift.Millis = 700
 	// Interval of an entry's ticks and of its state updates.
 	tickMillis   lovageshift.Millis = 20
 	updateMillis lovageshift.Millis = 100
@@ -49,13 +51,15 @@
 	old    bool // it has an earlier build
 
 	// Guarded by sim.mutex.
-	scheduler   *placement.Scheduler
-	client      *reservation.Client
-	incarnation int
-	cutFrom     lovageshift.Millis
-	cutTo       lovageshift.Millis
-	faultAt     lovageshift.Millis // the end of its last fault
-	next        int                // the next receiver of an update
+	scheduler *placement.Scheduler
+	client    *reservation.Client
+	cutFrom   lovageshift.Millis
+	cutTo     lovageshift.Millis
+	frozenTo  lovageshift.Millis // it does nothing before
+	faultAt   lovageshift.Millis // the end of its last fault
+	next      int                // the next receiver of an update
+	// notified holds when its present incarnation first got a response of each target that the test is about.
+	notified map[int]lovageshift.Millis
 }
 
 // newSimulation returns a simulation of the entries, oldBuilds of them of an earlier build, and of the targets.
@@ -114,7 +118,7 @@
 	return now < e.cutTo && now-e.cutFrom >= atLeast
 }
 
-// Send delivers a packet after a millisecond, unless it is lost.
+// Send delivers a packet after a millisecond, or once the receiver is not frozen any more, unless it is lost.
 func (e *simEntry) Send(to netip.Addr, packet *wire.EntryPacket) {
 	s := e.sim
 	s.mutex.Lock()
@@ -122,11 +126,12 @@
 	index := slices.IndexFunc(s.all, func(other *simEntry) bool { return other.self == to })
 	receiver := s.all[index]
 	lost := e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < datagramLoss
+	delay := max(receiver.frozenTo-now, 0) + 1
 	s.mutex.Unlock()
 	if lost {
 		return
 	}
-	time.AfterFunc(time.Millisecond, func() {
+	time.AfterFunc(delay.Duration(), func() {
 		s.mutex.Lock()
 		client := receiver.client
 		s.mutex.Unlock()
@@ -141,8 +146,7 @@
 	e.scheduler.SetView(now, e.sim.view)
 	e.client = reservation.NewClient(e.scheduler, e.sim.clock, nil)
 	e.client.SetPeers(e)
-	e.incarnation++
-	e.faultAt = now
+	e.faultAt, e.notified = now, map[int]lovageshift.Millis{}
 }
 
 // cut cuts the entry off from the others. The caller must hold sim.mutex.
@@ -152,10 +156,20 @@
 }
 
 // current returns the parts of the entry's present incarnation.
-func (e *simEntry) current() (*reservation.Client, *placement.Scheduler, int) {
+func (e *simEntry) current() (*reservation.Client, *placement.Scheduler) {
 	e.sim.mutex.Lock()
 	defer e.sim.mutex.Unlock()
-	return e.client, e.scheduler, e.incarnation
+	return e.client, e.scheduler
+}
+
+// awaitThaw returns once the entry is not frozen.
+func (e *simEntry) awaitThaw() {
+	e.sim.mutex.Lock()
+	left := e.frozenTo - e.sim.clock.Now()
+	e.sim.mutex.Unlock()
+	if left > 0 {
+		time.Sleep(left.Duration())
+	}
 }
 
 // elapsed returns the time since the start.
@@ -166,7 +180,8 @@
 // runTicks lets the entry's scheduler judge its queue and, as often as state updates are sent, calls the function with it.
 func (s *simulation) runTicks(e *simEntry, update func(now lovageshift.Millis, scheduler *placement.Scheduler)) {
 	for step := 0; s.running(); step++ {
-		_, scheduler, _ := e.current()
+		e.awaitThaw()
+		_, scheduler := e.current()
 		now := s.clock.Now()
 		scheduler.Tick(now)
 		if step%int(updateMillis/tickMillis) == 0 {
@@ -187,7 +202,7 @@
 		}
 		receiver := s.all[e.next]
 		scheduler := receiver.scheduler
-		lost := e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < updateLoss
+		lost := now < receiver.frozenTo || e.isCutFor(now, 0) || receiver.isCutFor(now, 0) || s.random.Float64() < updateLoss
 		s.mutex.Unlock()
 		if !lost {
 			deliver(receiver, scheduler)
--- a/reservation/unavailable_test.go
+++ b/reservation/unavailable_test.go
@@ -49,7 +49,7 @@
 }
 
 // serveUnavailable sends one request, as a gateway does: what is known of the target is checked again just before.
-func (s *unavailableSimulation) serveUnavailable(e *limitEntry, started, service lovageshift.Millis) {
+func (s *unavailableSimulation) serveUnavailable(e *simEntry, service lovageshift.Millis) {
 	s.mutex.Lock()
 	client, scheduler := e.client, e.scheduler
 	s.mutex.Unlock()
@@ -66,11 +66,11 @@
 		scheduler.Release(s.clock.Now(), slot, placement.Result{Outcome: placement.Abandoned})
 		return
 	}
-	s.arrive(toldKey{scheduler, id, born}, s.clock.Now()-started)
+	s.arrive(toldKey{scheduler, id, born}, s.elapsed())
 	time.Sleep(20 * time.Millisecond)
 	e.awaitThaw()
 	now = s.clock.Now()
-	since := now - started
+	since := now - s.started
 	if s.isLeaving(id) && since >= saidMillis && since < fullUntilMillis {
 		s.mutex.Lock()
 		wanted := lovageshift.Millis(300 + s.random.IntN(3000))
@@ -115,10 +115,9 @@
 	var sim *unavailableSimulation
 	synctest.Test(test, func(*testing.T) {
 		sim = newUnavailableSimulation(s, seed)
-		started := sim.clock.Now()
 		for _, e := range sim.all {
 			if flaps {
-				sim.group.Go(func() error { sim.changeViews(e, started); return nil })
+				sim.group.Go(func() error { sim.changeViews(e); return nil })
 			}
 		}
 		sim.run()
