Pass on the events that arrived together with the end of a connection

Cause: events are flushed unless a part of the next one is buffered already. When the last events, a part of one and the end of the connection arrive together, nothing was flushed, and the abort dropped what had been written. So a caller lost events that its target had sent, and asked for them again.

Change: what was written is flushed before the caller's connection is closed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -236,11 +236,14 @@
 	r.refuse(refusal)
 }
 
-// abort closes the caller's connection, so that a truncated response never looks complete. A body that ends with the
+// abort closes the caller's connection after what has been received, so that a truncated response never looks complete. A body that ends with the
 // connection would look so, and therefore the connection is reset in this case. It does not return: it panics with
 // http.ErrAbortHandler.
 func (r *request) abort(detail string) {
 	r.logEnd("brokenOff", detail)
+	if flusher, ok := r.w.(http.Flusher); ok && r.headerSent {
+		flusher.Flush()
+	}
 	if r.endsWithConnection {
 		r.resetOnClose()
 	}
