Wait in tests of targets' answers until the entry knows both targets

TestTargetThatWantsNoRequests failed once with -race, 0.02 s after its start: the entry knew one of the two targets only, which wanted no requests, so that it refused one.

Change: newStrayTargets waits until the entry has read all that the test wrote to the store.

--- a/gateway/strays_test.go
+++ b/gateway/strays_test.go
@@ -180,6 +180,8 @@
 		}
 		stop()
 	}
+	written := s.store.Copy().Revision()
+	s.waitFor(func() bool { return s.gateway.StateUpdate(lovageshift.NewClock().Now()).StoreRevision >= written })
 	sent := 0
 	s.waitFor(func() bool {
 		sent++
