Bind no stream to a version by a view that ends before the target's next record

Cause: 5 s after a lost connection a target counts as not started again, since the record of that must have arrived. An entry that cannot reach the store gets no record.

Change: bindRelease takes the time until which changes show in the view, which is at most 3 s after its last confirmation, in place of the present. As long as the view is no older than that, nothing changes. Later the stream is recorded as undecided.

--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -259,6 +259,13 @@
 	}
 }
 
+// setVersion sets the version of the software of the next incarnations.
+func (h *host) setVersion(version string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.replica.Version = version
+}
+
 // register writes the record of the next incarnation to the store.
 func (h *host) register() {
 	h.mutex.Lock()
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -111,10 +111,10 @@
 	if r.hasRelease {
 		return
 	}
-	if now := g.clock.Now(); g.scheduler.MayHaveRestarted(now, slot) {
+	if shownUntil := g.changesShownUntil(); g.scheduler.MayHaveRestarted(shownUntil, slot) {
 		r.releaseUnknown = true
 		if r.route.Resumable {
-			r.decideLater(now, slot)
+			r.decideLater(shownUntil, slot)
 		}
 		return
 	}
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -42,12 +42,17 @@
 
 // beginStreams begins streams through all entries and leaves each after two events.
 func (i *installation) beginStreams(count int) []*resumableStream {
+	return i.beginStreamsAt("/resume/", count)
+}
+
+// beginStreamsAt is beginStreams with the beginning of the path.
+func (i *installation) beginStreamsAt(prefix string, count int) []*resumableStream {
 	streams := make([]*resumableStream, count)
 	var group errgroup.Group
 	group.SetLimit(20)
 	for number := range count {
 		s := &resumableStream{first: standin.CallerRequest{
-			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("/resume/%d", number), LeaveAfter: 2,
+			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("%s%d", prefix, number), LeaveAfter: 2,
 		}}
 		streams[number] = s
 		group.Go(func() error {
@@ -174,3 +179,41 @@
 		So(wentOn, ShouldBeGreaterThanOrEqualTo, count/2)
 	})
 }
+
+// An entry that cannot reach the store took it that a target had not started again, as no record of that arrived.
+func TestNoStreamIsBoundToTheVersionOfATargetThatStartedAgainUnseen(t *testing.T) {
+	const count = 40
+	Convey("A stream of a target whose next record cannot have arrived is bound to no version", t, func() {
+		i := newInstallation(2, 2, targetOptions{slots: 40, events: 30, version: func(int) string { return "v1" }})
+		defer i.stop()
+		config := configuration(4, 1e6, key)
+		config["routes"] = append(config["routes"].([]map[string]any), map[string]any{ // which is served with a view of any age
+			"name": "free", "host": "h", "prefix": "/free/", "kind": "streaming", "timeout_ms": 2000, "target_latency_ms": 500,
+			"service": "pool", "attempts": 2, "resume_streams": true, "allow_anonymous": true,
+		})
+		i.store.Put(standin.ConfigKey, config)
+		time.Sleep(time.Second)
+		i.store.SetFailure(503)
+		time.Sleep(1500 * time.Millisecond) // in which calls from before are answered
+		i.hosts[0].down = 2 * time.Second
+		restart := time.AfterFunc(150*time.Millisecond, func() { i.hosts[0].crashed <- struct{}{} })
+		defer restart.Stop()
+		var callers errgroup.Group
+		for number := range count {
+			callers.Go(func() error {
+				i.send(number, standin.CallerRequest{ID: fmt.Sprintf("cut-%d", number), Path: "/resume/x"})
+				return nil
+			})
+		}
+		_ = callers.Wait()
+		i.hosts[0].setVersion("v2")
+		time.Sleep(8 * time.Second) // longer than after any attempt to reach it while it was down
+		streams := i.beginStreamsAt("/free/", count)
+		i.store.SetFailure(0)
+		time.Sleep(time.Second)
+		i.takeUp(streams)
+		wentOn, joined := i.count(streams)
+		So(joined, ShouldEqual, 0)
+		So(wentOn, ShouldBeGreaterThan, 0) // those of the other target
+	})
+}
