--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -113,9 +113,9 @@
 	if r.hasRelease {
 		return
 	}
-	if now := g.clock.Now(); g.scheduler.MayHaveRestarted(now, slot) {
+	if shownUntil := g.changesShownUntil(); g.scheduler.MayHaveRestarted(shownUntil, slot) {
 		if r.route.Resumable && !r.releaseUnknown {
-			r.decideLater(now, slot)
+			r.decideLater(shownUntil, slot)
 		}
 		r.releaseUnknown = true
 		return
