Let an entry that was not away judge what a reader tells of an outage

Change: the store counts as having answered without a break if no two answers are further apart than such an entry asks, and none failed for long; an outage that a reader tells of is taken to have lasted 4.5 s. A span may lack 2 s at either end, which ends no record: these expire after three heartbeats.

What remains is an absence in which the others had no answer within its last 2 s.

--- a/discovery/absence.go
+++ b/discovery/absence.go
@@ -7,12 +7,17 @@
 )
 
 const (
-	// The store counts as having answered all the time if no two answers in a row are further apart than this: a reader gets
-	// the answer of a watch after watchMillis, and asks again after coalesceMillis.
-	maxContactGapMillis lovageshift.Millis = 2000
-	// Another entry's contact with the store covers an absence if it lacks no more of it than this, at either end. That is
-	// less than an outage of the store lasts (storeUnreachableMillis).
-	contactSlackMillis lovageshift.Millis = 900
+	// The store counts as having answered all the time if no call failed for long and no two answers in a row are further
+	// apart than this: an entry that hears of no other's asks after maxUnconfirmedMillis and spreadMillis.
+	maxContactGapMillis = maxUnconfirmedMillis + spreadMillis + 2*probeWatchMillis
+	// Another entry's contact with the store covers an absence if it lacks no more of it than this, at either end. An outage of
+	// that time ends no record, as a record expires after three heartbeats of over a second.
+	contactSlackMillis lovageshift.Millis = 2000
+	// If calls have failed and the store has answered nobody for longer than this, it counts as having been away.
+	maxSilenceMillis lovageshift.Millis = 2000
+	// An outage of the store that a reader tells of is taken to have begun this long before its end, so that an entry that
+	// was the first to reach the store again does not prove that there was none.
+	toldAbsenceMillis = 2*contactSlackMillis + 500
 	// A contact of other entries is forgotten this long after its end.
 	contactRetentionMillis lovageshift.Millis = 10_000
 )
@@ -51,6 +56,17 @@
 	return slices.ContainsFunc(cs, func(c contact) bool { return c.covers(other) })
 }
 
+// sinceBefore returns since when the store has answered others, if it has done so shortly before the time, and else the time.
+func (cs contacts) sinceBefore(now lovageshift.Millis) lovageshift.Millis {
+	since := now
+	for _, c := range cs {
+		if now-c.until <= maxContactGapMillis {
+			since = min(since, c.since)
+		}
+	}
+	return since
+}
+
 // sinceContact returns the time since the store is known to have answered this entry or another one.
 func (t *Tracker) sinceContact() lovageshift.Millis {
 	t.mutex.Lock()
@@ -68,7 +84,10 @@
 		t.absence = contact{since: last, until: now}
 	}
 	if wasUnreachable || now-t.contact.until > maxContactGapMillis {
-		t.contact.since = now
+		t.contact.since, t.heardBefore = now, now
+		if !wasUnreachable {
+			t.heardBefore = t.othersContacts.sinceBefore(now)
+		}
 	}
 	t.contact.until = now
 }
@@ -98,7 +117,7 @@
 func (t *Tracker) settleAbsence() {
 	t.mutex.Lock()
 	absence := t.absence
-	isOwn := absence.until > 0 && !t.restoredLately() && t.othersContacts.covers(absence)
+	isOwn := absence.until > 0 && !t.restoredLately() && (t.othersContacts.covers(absence) || contact{t.heardBefore, t.contact.until}.covers(absence))
 	if isOwn {
 		t.absence = contact{}
 	}
@@ -142,7 +161,7 @@
 	defer t.mutex.Unlock()
 	until := t.clock.SinceBoot() - ago
 	if t.absence.until == 0 {
-		t.absence.since = until - storeUnreachableMillis
+		t.absence.since = until - toldAbsenceMillis
 	}
 	t.absence.until = until
 }
--- a/discovery/absent_test.go
+++ b/discovery/absent_test.go
@@ -256,3 +256,46 @@
 		}
 	}
 }
+
+// A target that leaves just after all readers were cut off must be gone at the entries that were not, whatever the readers
+// tell. The others ask the store every 3 s meanwhile, which mostly proves that it was there.
+func TestAbsenceOfAllReadersIsNoOutageForTheOthers(t *testing.T) {
+	const plays, mayFail = 8, 3
+	for _, count := range []int{3, 30, 103} {
+		for name, how := range map[string]isolation{"store": fromStore, "refused": refused, "all": fromAll} {
+			t.Run(fmt.Sprintf("%d entries, %s", count, name), func(t *testing.T) {
+				failed := 0
+				for range plays {
+					synctest.Test(t, func(*testing.T) {
+						if !goneAfterAbsenceOfReaders(count, how) {
+							failed++
+						}
+					})
+				}
+				if failed > mayFail {
+					t.Errorf("in %d of %d plays entries may send to a target that has left", failed, plays)
+				}
+			})
+		}
+	}
+}
+
+// goneAfterAbsenceOfReaders reports whether a target is gone in time at all entries that were not cut off.
+func goneAfterAbsenceOfReaders(count int, how isolation) bool {
+	r := newReadersAndFollowers(count, 0)
+	defer r.stop()
+	r.writePool(0, 1)
+	time.Sleep(8 * time.Second)
+	r.isolate(how, 0, 1)
+	time.Sleep(6500 * time.Millisecond)
+	r.isolate(connected, 0, 1)
+	time.Sleep(600 * time.Millisecond)
+	r.store.write(removal(poolTarget(0, 1).Key))
+	time.Sleep(believed)
+	for _, tracker := range r.all()[readers:] {
+		if len(tracker.View().Usable("pool")) != poolSize-1 {
+			return false
+		}
+	}
+	return true
+}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -75,7 +75,9 @@
 	lostCatalog   lovageshift.Revision
 	lostCatalogAt lovageshift.Millis
 	// contact is the time in which the store has answered this entry, othersContacts the times in which it has answered others.
-	contact        contact
+	contact contact
+	// heardBefore is since when the store has answered others and then this entry, none of whose calls failed for long.
+	heardBefore    lovageshift.Millis
 	othersContacts contacts
 	// absence is the last outage of the store as seen here, empty once others had the store's answers in it.
 	absence contact
@@ -205,7 +207,7 @@
 // recordSuccess counts a successful call, ends the series of failures and marks the store as reachable.
 func (t *Tracker) recordSuccess() {
 	now := t.clock.Now()
-	wasAway := t.storeUnreachable || t.failingSince > 0 && t.sinceContact() > maxContactGapMillis
+	wasAway := t.storeUnreachable || t.failingSince > 0 && t.sinceContact() > maxSilenceMillis
 	t.noteContact(wasAway)
 	if wasAway {
 		t.storeUnreachable = false
