Bind a stream after its first event only once its target has shown that it did not restart

Cause: since streams that began in doubt are bound with a later event, the doubt of 5 s ended for them by time alone. The record of the next incarnation cannot have arrived at an entry that the store does not answer, and the version of the old record replaced the undecided origin everywhere. The decision after the stream (decideLater) does wait for a view that shows it.

Change: a later event binds the stream only if the scheduler knows that the target is the same, as it answered a question after the loss (ShownSame). What time alone would decide is left to decideLater, as before.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -183,9 +183,9 @@
 		}
 		if r.summary.events == 0 {
 			r.summary.firstEvent = g.clock.Now() - r.summary.sentAt
-		}
-		if r.summary.events == 0 || r.releaseUnknown {
 			r.bindRelease(slot)
+		} else {
+			r.rebindRelease(slot)
 		}
 		if event.ID != "" {
 			r.lastEventID = event.ID
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -111,24 +111,36 @@
 }
 
 // bindRelease binds the request's stream to the software version of the target that sends its first event. If that may have
-// started again, its version is not known yet, and each further event tries again. Until then this attempt does not go on with
-// the stream; a later one may.
+// started again, its version is not known yet. Until the target itself shows that it has not (see rebindRelease), this attempt
+// does not go on with the stream; a later one may.
 func (r *request) bindRelease(slot *placement.Slot) {
 	g := r.gateway
 	if r.hasRelease {
 		return
 	}
 	if now := g.clock.Now(); g.scheduler.MayHaveRestarted(now, slot) {
-		if r.route.Resumable && !r.releaseUnknown {
+		r.releaseUnknown = true
+		if r.route.Resumable {
 			r.decideLater(now, slot)
 		}
-		r.releaseUnknown = true
 		return
 	}
-	r.releaseUnknown = false
+	r.setRelease(slot)
+}
+
+// rebindRelease binds a stream whose version is not known yet, at an event after the first. The time that has passed is not
+// enough for that: this entry may have been out of touch with the store meanwhile.
+func (r *request) rebindRelease(slot *placement.Slot) {
+	if r.releaseUnknown && r.gateway.scheduler.ShownSame(slot) {
+		r.releaseUnknown = false
+		r.setRelease(slot)
+	}
+}
+
+func (r *request) setRelease(slot *placement.Slot) {
 	r.release, r.hasRelease = slot.Target.Version, true
 	r.job.Version, r.job.HasVersion = r.release, true
 	if r.route.Resumable {
-		g.streams.Record(r.headers.ID, stream.Origin{Service: r.service, Version: r.release})
+		r.gateway.streams.Record(r.headers.ID, stream.Origin{Service: r.service, Version: r.release})
 	}
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -43,13 +44,16 @@
 }
 
 // beginStreams begins streams through all entries and leaves each after two events.
-func (i *installation) beginStreams(count int) []*resumableStream {
+func (i *installation) beginStreams(count int) []*resumableStream { return i.beginStreamsOf(count, 2) }
+
+// beginStreamsOf begins streams through all entries and leaves each after so many events.
+func (i *installation) beginStreamsOf(count, events int) []*resumableStream {
 	streams := make([]*resumableStream, count)
 	var group errgroup.Group
 	group.SetLimit(20)
 	for number := range count {
 		s := &resumableStream{first: standin.CallerRequest{
-			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("/resume/%d", number), LeaveAfter: 2,
+			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("/resume/%d", number), LeaveAfter: events,
 		}}
 		streams[number] = s
 		group.Go(func() error {
@@ -184,3 +188,44 @@
 		play(versionsOptions(), 200*time.Millisecond)
 	})
 }
+
+// A stream that began at a target which had restarted was bound to the version of before once a record must have arrived, though
+// the entry was cut off from the store.
+func TestNoStreamIsBoundByARecordThatIsOlderThanItsDoubt(t *testing.T) {
+	Convey("A stream that began at a restarted target goes on at no target of the version of before", t, func() {
+		options := versionsOptions()
+		options.slots, options.events = 8, 300
+		options.version = func(int) string { return "v1" }
+		i := newInstallation(1, 2, options)
+		defer i.stop()
+		var before errgroup.Group
+		before.Go(func() error { i.beginStreamsOf(12, 100); return nil }) // some of which are cut off
+		time.Sleep(500 * time.Millisecond)
+		i.store.SetFailure(http.StatusServiceUnavailable)
+		i.server.CloseClientConnections()
+		restarted := i.hosts[0]
+		restarted.replica.SetVersion("v2")
+		restarted.crashed <- struct{}{}
+		time.Sleep(3800 * time.Millisecond)
+		streams := i.beginStreamsOf(16, 165)
+		i.store.SetFailure(0)
+		_ = before.Wait()
+		time.Sleep(3 * time.Second)
+		i.takeUp(streams)
+		began, joined := 0, 0
+		ran := map[string]bool{}
+		for _, request := range i.hosts[1].replica.Executed() {
+			ran[request.ID] = true
+		}
+		for _, s := range streams {
+			if s.firstReply.Status == http.StatusOK && !ran[s.first.ID] {
+				began++
+				if ran[s.next.ID] {
+					joined++
+				}
+			}
+		}
+		So(began, ShouldBeGreaterThan, 0)
+		So(joined, ShouldEqual, 0)
+	})
+}
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -88,3 +88,12 @@
 	restarted := current != nil && current.Born != slot.Target.Born
 	return restarted || slot.state.mayHaveRestarted(now)
 }
+
+// ShownSame reports whether the slot's target is known to be the incarnation for which the slot was granted: a connection to it
+// was never lost, or it has answered since.
+func (s *Scheduler) ShownSame(slot *Slot) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := s.targets[slot.Target.ID]
+	return current == slot.state && slot.state.lostAt == 0
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -160,7 +160,16 @@
 	}
 }
 
+// SetVersion sets the version of the software that the replica's next incarnation has.
+func (r *Replica) SetVersion(version string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Version = version
+}
+
 func (r *Replica) version() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	if r.Version == "" {
 		return "v1"
 	}
