Send no retry to a group whose only targets of its version were tried

Callers saw (LOST): a stream whose target broke off was to go on elsewhere, waited in vain and was refused as "shed", while a target of its version in another group had room.

Cause: PickGroup weighs a group by the free slots at targets that can run the job, those included that the job has tried and will not get again. With more than 24 targets of a service there are several groups, and a job waits at one.

Evidence: TestRetryWaitsAtNoGroupWhoseTargetsWereTried, 60 targets, two of the version in different groups: no slot at one of the points of the first group, though the other target is idle.

Change: PickGroup leaves out the targets that were tried.

Measured: the job gets the other target at all 20 points, whichever of the two was tried.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -65,7 +65,7 @@
 	case t.running() >= t.capacity():
 		return false
 	default:
-		return !slices.Contains(w.job.Tried, HashOf(t.ID))
+		return !w.job.hasTried(t)
 	}
 }
 
--- a/placement/job.go
+++ b/placement/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"lovageshift"
 	"lovageshift/catalog"
@@ -53,6 +54,11 @@
 // fits reports whether the target can run the request.
 func (j *Job) fits(t *targetState) bool { return !j.HasVersion || t.Version == j.Version }
 
+// hasTried reports whether the target is one of Tried.
+func (j *Job) hasTried(t *targetState) bool {
+	return len(j.Tried) > 0 && slices.Contains(j.Tried, HashOf(t.ID))
+}
+
 // Slot is the right to run one request at a target; the holder must return it with Scheduler.Release.
 type Slot struct {
 	Target *catalog.Target
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -198,8 +198,8 @@
 }
 
 // PickGroup returns the group of the job's service in which to request a slot, or "" if the service has no targets. The
-// probability of a group is nearly proportional to its free slots, at targets that can run the job, if point is uniformly
-// random in [0, 1).
+// probability of a group is nearly proportional to its free slots, at targets that can run the job and were not tried for it,
+// if point is uniformly random in [0, 1).
 func (s *Scheduler) PickGroup(job *Job, point float64) GroupID {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -211,7 +211,7 @@
 	total := 0.0
 	for i, group := range groups {
 		for _, t := range s.groups[group] {
-			if job.fits(t) {
+			if job.fits(t) && !job.hasTried(t) {
 				// A target without known free slots keeps a small weight, as other entries report the end of their requests only
 				// with a delay.
 				free[i] += float64(max(t.slots()-t.running(), 0)) + 0.1
