Doubt a target that has answered as another incarnation until its next record arrives

Callers could see (ORDER): an entry that is out of touch with the store asked a target whose connections were lost, was told of a start other than the one on record, threw the answer away, and 5 s later sent streams of the old record's version there.

Cause: the answer was used only to end a doubt; against it, the doubt ended by time.

Evidence: the new case of TestTargetThatAnswersAfterLostConnectionsServesStreams: without the doubt a stream gets the slot, 19 s after the loss.

Change: such an answer is recorded for the incarnation that was asked.

--- a/gateway/incarnations.go
+++ b/gateway/incarnations.go
@@ -37,10 +37,13 @@
 	askedAt := g.clock.Now()
 	born, err := upstream.Born(ctx, target)
 	detail := ""
-	if err != nil {
+	switch {
+	case err != nil:
 		detail = oneLine(err.Error())
-	} else {
+	case born == target.Born:
 		g.scheduler.ConfirmIncarnation(g.clock.Now(), askedAt, target.ID, born)
+	default:
+		g.scheduler.RecordRestart(target)
 	}
 	g.log.Info("incarnationChecked", "target", target.ID, "same", err == nil && born == target.Born, "afterMillis", g.clock.Now()-askedAt, "detail", detail)
 }
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -32,6 +32,16 @@
 	if t == nil || t.Born != born || t.lostAt >= askedAt {
 		return
 	}
-	t.lostAt, t.lossColdUntil = 0, 0
+	t.lostAt, t.lossColdUntil, t.restarted = 0, 0, false
 	s.assignService(now, t.Service)
 }
+
+// RecordRestart records that another incarnation answered at the address of this one of the target. It counts as restarted until
+// the record of the next one arrives, however long that takes.
+func (s *Scheduler) RecordRestart(asked *catalog.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if t := s.targets[asked.ID]; t != nil && t.Born == asked.Born {
+		t.restarted = true
+	}
+}
--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -49,6 +49,22 @@
 		s.ConfirmIncarnation(1025, 1000, "i-0", 7)
 		So(waiting.Slot, ShouldBeNil)
 	})
+	Convey("A target that has shown that it has restarted serves no streams of its record's version, however long ago that was", t, func() {
+		list := newTargets()
+		s := lose(list)
+		s.RecordRestart(list[0])
+		job := &placement.Job{Resumes: true, HasVersion: true, Version: "v1", QueueDeadline: 100_000}
+		waiting := submit(s, 20_000, job)
+		So(waiting.Slot, ShouldBeNil)
+		Convey("until the record of its next incarnation arrives", func() {
+			next := newTargets()
+			next[0].Born = 8
+			s.SetView(20_010, view(service, next...))
+			So(waiting.Slot, ShouldNotBeNil)
+			s.RecordRestart(list[0])
+			So(submit(s, 20_020, &placement.Job{HasVersion: true, Version: "v1"}).Slot, ShouldNotBeNil)
+		})
+	})
 	Convey("A target is asked once in a while, not at each lost connection", t, func() {
 		s := lose(newTargets())
 		So(s.Doubted(1020), ShouldHaveLength, 1)
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -95,5 +95,5 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.targets[slot.Target.ID]
-	return current == slot.state && slot.state.lostAt == 0
+	return current == slot.state && slot.state.lostAt == 0 && !slot.state.restarted
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -84,6 +84,8 @@
 	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
 	// then, and its new record may not have arrived.
 	lostAt lovageshift.Millis
+	// restarted is set if another incarnation has answered at the target's address.
+	restarted bool
 	// checkedAt is when the target was last asked for its incarnation, 0 for never.
 	checkedAt lovageshift.Millis
 	// grantTimes are the times at which this entry granted slots at the target, to its own requests and to other
@@ -162,9 +164,9 @@
 }
 
 // mayHaveRestarted reports whether a connection to the target failed or was lost so lately that the record of its next
-// incarnation, which may have another version of its software, may not have arrived.
+// incarnation, which may have another version of its software, may not have arrived, or whether that is known not to have arrived.
 func (t *targetState) mayHaveRestarted(now lovageshift.Millis) bool {
-	return t.lostAt > 0 && now-t.lostAt < recordDelayMillis
+	return t.restarted || t.lostAt > 0 && now-t.lostAt < recordDelayMillis
 }
 
 // movingAverage returns an exponential moving average, 0 before its first value, after one more value.
