Take no answer that was read late for a target's present incarnation

An entry that stands still after it has asked a target reads the answer when it goes on. The target may have restarted meanwhile, with another version, and the answer ended the doubt (ORDER).

Evidence: the new case of TestTargetThatAnswersAfterLostConnectionsServesStreams, an answer read 2 s after the question: without the bound a stream gets a slot at once.

Change: an answer counts only if it was read within 700 ms of the question. The timeout of the question, 500 ms, does not assure that: its timer and the answer are handled in any order when the process goes on. The clock compared is the one that goes on while a process is stopped, not while a VM is suspended.

--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -5,8 +5,13 @@
 	"lovageshift/catalog"
 )
 
-// An engine that may have restarted is asked for its incarnation no more often than this.
-const incarnationCheckInterval lovageshift.Millis = 1000
+const (
+	// An engine that may have restarted is asked for its incarnation no more often than this.
+	incarnationCheckInterval lovageshift.Millis = 1000
+	// An answer that is read later than this after the question shows nothing: the entry may have stood still meanwhile, and the
+	// target may have restarted since it answered.
+	maxAnswerAge lovageshift.Millis = 700
+)
 
 // Doubted returns the engines that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
 func (s *Scheduler) Doubted(now lovageshift.Millis) []*catalog.Target {
@@ -29,7 +34,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.targets[id]
-	if t == nil || t.Born != born || t.lostAt >= askedAt {
+	if t == nil || t.Born != born || t.lostAt >= askedAt || now-askedAt > maxAnswerAge {
 		return
 	}
 	t.lostAt, t.lossColdUntil, t.restarted = 0, 0, false
--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -65,6 +65,12 @@
 			So(submit(s, 20_020, &placement.Job{HasVersion: true, Version: "v1"}).Slot, ShouldNotBeNil)
 		})
 	})
+	Convey("An answer that an entry reads late, as it stood still, does not show that", t, func() {
+		s := lose(newTargets())
+		waiting := resumes(s)
+		s.ConfirmIncarnation(3020, 1020, "i-0", 7)
+		So(waiting.Slot, ShouldBeNil)
+	})
 	Convey("A target is asked once in a while, not at each lost connection", t, func() {
 		s := lose(newTargets())
 		So(s.Doubted(1020), ShouldHaveLength, 1)
