Ask engines in the test of streams taken up soon after a reset

It passed with -race, and in some runs, where the reset met no open stream.

Cause: only engines are asked whether they have restarted, and the targets of the test are a plain service, so none ever was. And the streams to be cut off left after 20 ms, before the reset at 60 ms.

Change: the targets are engines, and the streams to be cut off are read to their end. The bounds are as before.

Measured: 2 of 2 runs pass, 1 of 1 with -race; with no target asked, 0 of 60 go on and the test fails.

--- a/gateway/installation_test.go
+++ b/gateway/installation_test.go
@@ -64,6 +64,8 @@
 	slots, events int
 	// endsWithConnection makes the answers end with their connections.
 	endsWithConnection bool
+	// engine makes the targets engines, which entries ask for their reports.
+	engine bool
 	// noReport makes targets answer no question for their report.
 	noReport bool
 }
@@ -73,7 +75,11 @@
 func newInstallation(entries, targets int, options targetOptions) *installation {
 	i := &installation{store: standin.NewStore(), port: freeUDPPort()}
 	i.server = httptest.NewServer(i.store)
-	i.store.Put(standin.ConfigKey, configuration(2, 1e6, key))
+	config := configuration(2, 1e6, key)
+	if options.engine {
+		config["services"] = []map[string]any{{"name": "pool", "connection_limit": 100, "engine": map[string]any{"slots": 4, "stride": 1}}}
+	}
+	i.store.Put(standin.ConfigKey, config)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	for number := range targets {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -162,6 +162,7 @@
 func TestStreamsGoOnThatBeganAfterConnectionsWereLost(t *testing.T) {
 	const count = 60
 	play := func(options targetOptions, wait time.Duration) {
+		options.engine = true
 		i := newInstallation(3, 8, options)
 		defer i.stop()
 		reset := time.AfterFunc(60*time.Millisecond, func() {
@@ -170,7 +171,7 @@
 			}
 		})
 		defer reset.Stop()
-		i.beginStreams(count) // some of which are cut off
+		i.beginStreamsOf(20, 0) // which are cut off
 		time.Sleep(100 * time.Millisecond)
 		streams := i.beginStreams(count)
 		time.Sleep(wait)
