--- a/gateway/incarnations.go
+++ b/gateway/incarnations.go
@@ -44,8 +44,10 @@
 		detail = oneLine(err.Error())
 	case err != nil:
 		detail = oneLine(err.Error())
-	default:
+	case born == target.Born:
 		g.scheduler.ConfirmIncarnation(g.clock.Now(), askedAt, target.ID, born)
+	default:
+		g.scheduler.RecordRestart(target)
 	}
 	g.log.Info("incarnationChecked", "target", target.ID, "same", err == nil && born == target.Born, "afterMillis", g.clock.Now()-askedAt, "detail", detail)
 }
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,17 +45,17 @@
 
 // beginStreams begins streams through all entries and leaves each after two events.
 func (i *installation) beginStreams(count int) []*resumableStream {
-	return i.beginStreamsAt("/resume/", count)
+	return i.beginStreamsAt("/resume/", count, 2)
 }
 
-// beginStreamsAt is beginStreams with the beginning of the path.
-func (i *installation) beginStreamsAt(prefix string, count int) []*resumableStream {
+// beginStreamsAt begins streams at paths with the beginning, through all entries, and leaves each after so many events.
+func (i *installation) beginStreamsAt(prefix string, count, events int) []*resumableStream {
 	streams := make([]*resumableStream, count)
 	var group errgroup.Group
 	group.SetLimit(20)
 	for number := range count {
 		s := &resumableStream{first: standin.CallerRequest{
-			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("%s%d", prefix, number), LeaveAfter: 2,
+			ID: fmt.Sprintf("first-%d-%d", time.Now().UnixNano(), number), Path: fmt.Sprintf("%s%d", prefix, number), LeaveAfter: events,
 		}}
 		streams[number] = s
 		group.Go(func() error {
@@ -163,6 +164,7 @@
 func TestStreamsGoOnThatBeganAfterConnectionsWereLost(t *testing.T) {
 	const count = 60
 	play := func(options targetOptions, wait time.Duration) {
+		options.engine = true
 		i := newInstallation(3, 8, options)
 		defer i.stop()
 		reset := time.AfterFunc(60*time.Millisecond, func() {
@@ -171,7 +173,7 @@
 			}
 		})
 		defer reset.Stop()
-		i.beginStreams(count) // some of which are cut off
+		i.beginStreamsAt("/resume/", 20, 0) // which are cut off
 		time.Sleep(100 * time.Millisecond)
 		streams := i.beginStreams(count)
 		time.Sleep(wait)
@@ -218,7 +220,7 @@
 		_ = callers.Wait()
 		i.hosts[0].setVersion("v2")
 		time.Sleep(8 * time.Second) // longer than after any attempt to reach it while it was down
-		streams := i.beginStreamsAt("/free/", count)
+		streams := i.beginStreamsAt("/free/", count, 2)
 		i.store.SetFailure(0)
 		time.Sleep(time.Second)
 		i.takeUp(streams)
@@ -227,3 +229,44 @@
 		So(wentOn, ShouldBeGreaterThan, 0) // those of the other target
 	})
 }
+
+// A stream that began at a target which had restarted was bound to the version of before once a record must have arrived, though
+// the entry was cut off from the store.
+func TestNoStreamIsBoundByARecordThatIsOlderThanItsDoubt(t *testing.T) {
+	Convey("A stream that began at a restarted target goes on at no target of the version of before", t, func() {
+		options := versionsOptions()
+		options.slots, options.events = 8, 300
+		options.version = func(int) string { return "v1" }
+		i := newInstallation(1, 2, options)
+		defer i.stop()
+		var before errgroup.Group
+		before.Go(func() error { i.beginStreamsAt("/resume/", 12, 100); return nil }) // some of which are cut off
+		time.Sleep(500 * time.Millisecond)
+		i.store.SetFailure(http.StatusServiceUnavailable)
+		i.server.CloseClientConnections()
+		restarted := i.hosts[0]
+		restarted.replica.SetVersion("v2")
+		restarted.crashed <- struct{}{}
+		time.Sleep(3800 * time.Millisecond)
+		streams := i.beginStreamsAt("/resume/", 16, 165)
+		i.store.SetFailure(0)
+		_ = before.Wait()
+		time.Sleep(3 * time.Second)
+		i.takeUp(streams)
+		began, joined := 0, 0
+		ran := map[string]bool{}
+		for _, request := range i.hosts[1].replica.Executed() {
+			ran[request.ID] = true
+		}
+		for _, s := range streams {
+			if s.firstReply.Status == http.StatusOK && !ran[s.first.ID] {
+				began++
+				if ran[s.next.ID] {
+					joined++
+				}
+			}
+		}
+		So(began, ShouldBeGreaterThan, 0)
+		So(joined, ShouldEqual, 0)
+	})
+}
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -5,8 +5,13 @@
 	"lovageshift/catalog"
 )
 
-// A target that may have restarted is asked for its incarnation no more often than this.
-const incarnationCheckInterval lovageshift.Millis = 1000
+const (
+	// A target that may have restarted is asked for its incarnation no more often than this.
+	incarnationCheckInterval lovageshift.Millis = 1000
+	// An answer that is read later than this after the question shows nothing: the entry may have stood still meanwhile, and the
+	// target may have restarted since it answered.
+	maxAnswerAge lovageshift.Millis = 700
+)
 
 // Doubted returns the targets that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
 func (s *Scheduler) Doubted(now lovageshift.Millis) []*catalog.Target {
@@ -29,10 +34,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.targets[id]
-	if t == nil || t.Born != born || t.lostAt >= askedAt {
+	if t == nil || t.Born != born || t.lostAt >= askedAt || now-askedAt > maxAnswerAge {
 		return
 	}
-	t.lostAt, t.lossColdUntil = 0, 0
+	t.lostAt, t.lossColdUntil, t.restarted = 0, 0, false
 	s.assignService(now, t.Service)
 }
 
@@ -45,3 +50,13 @@
 		t.noReport = true
 	}
 }
+
+// RecordRestart records that another incarnation answered at the address of this one of the target. It counts as restarted until
+// the record of the next one arrives, however long that takes.
+func (s *Scheduler) RecordRestart(asked *catalog.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if t := s.targets[asked.ID]; t != nil && t.Born == asked.Born {
+		t.restarted = true
+	}
+}
