Doubt a restarted target for as long as the view may not show it

Seen by reading, for streams (ORDER): a target whose connection was lost counts as the incarnation of before once a record of the next one must have arrived. An entry that cannot reach the store gets no such record, and went by the clock alone.

Change: the scheduler knows how much later than in the store changes may show in the view, and counts to that moment.

Measured: TestDoubtLastsWhileTheViewIsBehind failed before; it passes now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,7 +168,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			g.scheduler.Tick(g.clock.Now())
+			now := g.clock.Now()
+			g.scheduler.SetViewLag(now - g.changesShownUntil())
+			g.scheduler.Tick(now)
 		case <-levels.C:
 			g.sendLevels()
 		case <-expire.C:
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -56,7 +56,7 @@
 // quorum and the target is below its cold limit.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
 	switch {
-	case !w.job.fits(t), w.job.HasVersion && t.mayHaveRestarted(now):
+	case !w.job.fits(t), w.job.HasVersion && s.doubts(now, t):
 		return false
 	case w.own && now < t.unavailable.openAt():
 		return false
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -13,6 +13,18 @@
 	maxAnswerAge lovageshift.Millis = 700
 )
 
+// SetViewLag sets how much later than in the store changes may show in the view.
+func (s *Scheduler) SetViewLag(lag lovageshift.Millis) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.viewLag = lag
+}
+
+// doubts reports whether the target may have restarted, as far as the view can show by now.
+func (s *Scheduler) doubts(now lovageshift.Millis, t *targetState) bool {
+	return t.mayHaveRestarted(now - s.viewLag)
+}
+
 // Doubted returns the targets that may have restarted (see MayHaveRestarted) and are due to be asked for their incarnation.
 func (s *Scheduler) Doubted(now lovageshift.Millis) []*catalog.Target {
 	s.mutex.Lock()
@@ -20,7 +32,7 @@
 	var doubted []*catalog.Target
 	for _, t := range s.targets {
 		due := t.checkedAt == 0 || now-t.checkedAt >= incarnationCheckInterval
-		if t.mayHaveRestarted(now) && due && !t.noReport {
+		if s.doubts(now, t) && due && !t.noReport {
 			t.checkedAt = now
 			doubted = append(doubted, t.Target)
 		}
--- a/placement/incarnation_test.go
+++ b/placement/incarnation_test.go
@@ -80,3 +80,21 @@
 		So(s.Doubted(3200), ShouldBeEmpty)
 	})
 }
+
+// TestDoubtLastsWhileTheViewIsBehind guards against taking a target for the incarnation of before as no record of the next one
+// has arrived, while no record can.
+func TestDoubtLastsWhileTheViewIsBehind(t *testing.T) {
+	Convey("A stream waits for as long as the view may not show that the target has restarted", t, func() {
+		list := targets(1, 40)
+		list[0].Version = "v1"
+		s := newScheduler(&catalog.Service{ID: pool, Engine: true}, list...)
+		s.Release(1000, submit(s, 1, &placement.Job{}).Slot, placement.Result{Outcome: placement.ConnectionLost})
+		waiting := submit(s, 1010, &placement.Job{Resumes: true, HasVersion: true, Version: "v1", QueueDeadline: 100_000})
+		s.SetViewLag(2000)
+		s.Tick(6500)
+		So(waiting.Slot, ShouldBeNil)
+		s.SetViewLag(0)
+		s.Tick(6510)
+		So(waiting.Slot, ShouldNotBeNil)
+	})
+}
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -87,7 +87,7 @@
 			o.addUnavailable(t.unavailable.openAt() - now)
 		case now < t.backoffUntil:
 			o.Backoff++
-		case w.job.HasVersion && t.mayHaveRestarted(now):
+		case w.job.HasVersion && s.doubts(now, t):
 			o.MayHaveRestarted++
 		case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
 			o.Cold++
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -59,8 +59,9 @@
 	// targets are assigned only then: entries cut off from each other cannot both have a quorum, so no other entry
 	// coordinates the same groups for long.
 	quorum bool
-	// view is the view set last, nil before the first.
+	// view is the view set last, nil before the first, and viewLag the last value of SetViewLag.
 	view            *catalog.View
+	viewLag         lovageshift.Millis
 	targets         map[lovageshift.TargetID]*targetState
 	byHash          map[TargetHash]*targetState
 	groups          map[GroupID][]*targetState
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -23,7 +23,7 @@
 	if now < t.unavailable.openAt() {
 		return nil, ErrUnavailable
 	}
-	if !job.fits(t) || job.HasVersion && t.mayHaveRestarted(now) { // the granter is of an earlier build, or did not know
+	if !job.fits(t) || job.HasVersion && s.doubts(now, t) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
 	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
