--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,6 +78,19 @@
 	})
 }
 
+// TestTargetsThatLeaveOrAreFull runs seeds in which entries once sent requests to targets that had said that they leave, or for
+// how long they refuse requests.
+func TestTargetsThatLeaveOrAreFull(t *testing.T) {
+	options := soak.DefaultOptions()
+	options.Notices = true
+	violations, requests, err := runSeeds(t, options, 903, 935)
+	Convey("Targets that leave or are full get no requests that they do not want", t, func() {
+		So(err, ShouldBeNil)
+		So(violations, ShouldBeEmpty)
+		So(requests, ShouldNotContain, 0)
+	})
+}
+
 func TestTooLargeRunIsRefused(t *testing.T) {
 	Convey("A run that may need more file descriptors than the limit returns an error", t, func() {
 		options := soak.DefaultOptions()
