--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -25,8 +25,9 @@
 	// may not agree on the number of entries.
 	connectionShare = 0.85
 	// Another entry's reported load and its reservations count until this long after its last state update or its last
-	// new request for a slot, or until its next update is overdue if that is later (see Scheduler.peerTimeout). To answer repeated requests, a refused reservation is kept for this long after its first
-	// request, and the time at which a reservation was ended for this long after that time.
+	// new request for a slot, or until its next update is overdue if that is later (see Scheduler.peerTimeout). To answer
+	// repeated requests, a refused reservation is kept for this long after its first request, and the time at which a
+	// reservation was ended for this long after that time.
 	peerTimeoutMillis lovageshift.Millis = 1500
 	// How often the refused reservations and end times that are older than peerTimeoutMillis are deleted.
 	sweepIntervalMillis lovageshift.Millis = 1000
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -8,8 +8,9 @@
 )
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
-// this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrUnavailable if the target wants no requests from this entry now, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
-// the slot would exceed it.
+// this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrUnavailable if the
+// target wants no requests from this entry now, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the
+// granter does not know the target's limit and the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
