Keep a granted slot for a moment while this entry doubts its target longer than the coordinator

Callers saw (LOST): a stream that goes on was granted a slot, its entry gave that back as the target might have restarted, and the target counted as tried for good, though its answer arrived a moment later. With few targets of the version the stream waited for nothing.

Cause: each entry ends its doubt by its own question. What a doubt of milliseconds led to lasted as long as the request.

Evidence: TestStreamGetsTheTargetThatItsEntryDoubtedForAMoment: refused; the entry's doubt ends 50 ms after the grant.

Change: the entry looks again every 10 ms for 200 ms, half of the time after which a coordinator drops a slot that is not reported. A doubt that lasts longer is treated as before, which an entry that asked within the last second may have.

--- a/placement/slot.go
+++ b/placement/slot.go
@@ -8,8 +8,8 @@
 )
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
-// this entry does not know the target's incarnation, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the granter does not know the target's limit and
-// the slot would exceed it.
+// this entry does not know the target's incarnation, ErrOtherVersion if the target cannot run the job, ErrDoubted if it may have
+// restarted with another version, and ErrOverLimit if the granter does not know the target's limit and the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -17,9 +17,12 @@
 	if t == nil || t.Born != grant.Born {
 		return nil, ErrUnknownTarget
 	}
-	if !job.fits(t) || job.HasVersion && t.mayHaveRestarted(now) { // the granter is of an earlier build, or did not know
+	if !job.fits(t) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
+	if job.HasVersion && t.mayHaveRestarted(now) {
+		return nil, ErrDoubted
+	}
 	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
 		return nil, ErrOverLimit
 	}
@@ -33,6 +36,7 @@
 var (
 	ErrUnknownTarget = errors.New("the slot is at an unknown target")
 	ErrOtherVersion  = errors.New("the target has another version of its software than the job needs")
+	ErrDoubted       = errors.New("the target may have restarted with another version of its software than the job needs")
 	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
 )
 
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"time"
 
 	"lovageshift"
 	"lovageshift/eventlog"
@@ -26,6 +27,10 @@
 	// How long no slots are requested from a coordinator that was unresponsive or granted a slot at a target unknown to
 	// this entry.
 	avoidMillis lovageshift.Millis = 1000
+	// How long an entry keeps a granted slot while it doubts that the target has not restarted, and how often it looks. The answer
+	// to its question mostly arrives within that time. A coordinator drops slots that are not reported for twice as long.
+	maxDoubtWait  lovageshift.Millis = 200
+	doubtInterval                    = 10 * time.Millisecond
 	// How many other entries an entry requests a slot from, one after the other, before it queues the job at its own
 	// scheduler.
 	maxCoordinators = 2
@@ -74,7 +79,7 @@
 			return c.submitLocally(ctx, group, c.roleIn(group), job)
 		}
 		decision, err := c.requestSlot(ctx, coordinator, group, job)
-		for errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) {
+		for errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) || errors.Is(err, placement.ErrDoubted) {
 			decision, err = c.requestSlot(ctx, coordinator, group, job)
 		}
 		if err == nil {
@@ -160,10 +165,10 @@
 			unanswered, interval = 0, refreshMillis
 			later := receive(ctx, replies, interval)
 			if later != nil && later.State != wire.ReserveState_RESERVE_STATE_QUEUED {
-				return c.accept(coordinator, id, job, later)
+				return c.accept(ctx, coordinator, id, job, later)
 			}
 		default:
-			return c.accept(coordinator, id, job, reply)
+			return c.accept(ctx, coordinator, id, job, reply)
 		}
 	}
 }
@@ -183,7 +188,7 @@
 // accept turns the coordinator's reply that a reservation is granted or refused into the decision on the job, and
 // acquires the slot if one is granted. If the slot cannot be used, it marks the target as tried and returns the error of
 // AcquireGranted.
-func (c *Client) accept(coordinator netip.Addr, id uint64, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
+func (c *Client) accept(ctx context.Context, coordinator netip.Addr, id uint64, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
 	now := c.clock.Now()
 	if reply.State == wire.ReserveState_RESERVE_STATE_REFUSED {
 		reason := lovageshift.ReasonShed
@@ -201,6 +206,10 @@
 		Running: int(reply.Running), KeepsLimit: reply.KeepsLimit,
 	}
 	slot, err := c.scheduler.AcquireGranted(now, coordinator, grant, job)
+	for errors.Is(err, placement.ErrDoubted) && ctx.Err() == nil && c.clock.Now()-now < maxDoubtWait {
+		lovageshift.Pause(ctx, doubtInterval)
+		slot, err = c.scheduler.AcquireGranted(c.clock.Now(), coordinator, grant, job)
+	}
 	if err != nil {
 		c.end(coordinator, id, placement.Result{})
 		job.Tried = append(job.Tried, grant.Target)
