Count a stream that an entry goes on with as no repeated request

A stream whose request had been refused once came last of its rank when its entry went on with it: the mark of the repetition stayed, though the caller has events by now. A stream that its caller takes up loses that mark already.

Evidence: TestStreamsThatGoOnWaitLongerThanNewRequests, which failed there. Its other cases guard the waits of streams that go on; no test noticed before if these were as short as those of new requests.

--- a/placement/wait.go
+++ b/placement/wait.go
@@ -45,7 +45,7 @@
 
 // GoOn prepares the job for another target that goes on with the stream, whose last event arrived at the given time.
 func (j *Job) GoOn(now, lastEventAt lovageshift.Millis) {
-	j.Resumes = true
+	j.Resumes, j.RefusedBefore = true, false
 	j.Retry(now)
 	j.QueueDeadline = max(j.QueueDeadline, j.latestSlot(lastEventAt, resumeMaxWait))
 }
