--- a/reservation/doubt_test.go
+++ b/reservation/doubt_test.go
@@ -36,3 +36,26 @@
 		}
 	})
 }
+
+// TestCoordinatorKnowsWhichRequestsGoOnWithStreams guards against refusing a stream by the estimate that is for new requests.
+func TestCoordinatorKnowsWhichRequestsGoOnWithStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, entries := newNetwork(3, 1, 1)
+		coordinator, other := coordinatorAndOther(entries)
+		held := coordinator.reserve(100)
+		time.AfterFunc(100*time.Millisecond, func() {
+			coordinator.scheduler.Release(n.clock.Now(), held.Slot, placement.Result{Outcome: placement.Served})
+		})
+		for _, resumes := range []bool{false, true} {
+			now := n.clock.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			decision := other.client.Reserve(ctx, &placement.Job{
+				Service: pool, Arrived: now, Objective: 500, QueueDeadline: now + 300, Resumes: resumes, HasVersion: true,
+			})
+			cancel()
+			if (decision.Slot != nil) != resumes {
+				t.Errorf("goes on with a stream: %t, got a slot: %t", resumes, decision.Slot != nil)
+			}
+		}
+	})
+}
