--- a/placement/slot.go
+++ b/placement/slot.go
@@ -9,8 +9,8 @@
 
 // AcquireGranted takes the slot that the entry at the address granter granted to the job. It returns ErrUnknownTarget if
 // this entry does not know the target's incarnation, ErrLeaving if it knows that the target leaves, ErrUnavailable if the
-// target wants no requests from this entry now, ErrOtherVersion if the target cannot run the job, and ErrOverLimit if the
-// granter does not know the target's limit and the slot would exceed it.
+// target wants no requests from this entry now, ErrOtherVersion if the target cannot run the job, ErrDoubted if it may have
+// restarted with another version, and ErrOverLimit if the granter does not know the target's limit and the slot would exceed it.
 func (s *Scheduler) AcquireGranted(now lovageshift.Millis, granter netip.Addr, grant Reply, job *Job) (*Slot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -24,9 +24,12 @@
 	if now < t.unavailable.openAt() {
 		return nil, ErrUnavailable
 	}
-	if !job.fits(t) || job.HasVersion && s.doubts(now, t) { // the granter is of an earlier build, or did not know
+	if !job.fits(t) { // the granter is of an earlier build, or did not know
 		return nil, ErrOtherVersion
 	}
+	if job.HasVersion && s.doubts(now, t) {
+		return nil, ErrDoubted
+	}
 	if !s.acceptsGrant(now, t, grant.KeepsLimit) {
 		return nil, ErrOverLimit
 	}
@@ -42,6 +45,7 @@
 	ErrUnavailable   = errors.New("the target of the slot wants no requests from this entry for some time")
 	ErrLeaving       = errors.New("the target of the slot leaves")
 	ErrOtherVersion  = errors.New("the target has another version of its software than the job needs")
+	ErrDoubted       = errors.New("the target may have restarted with another version of its software than the job needs")
 	ErrOverLimit     = errors.New("the slot would exceed the limit of its target")
 )
 
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"time"
 
 	"lovageshift"
 	"lovageshift/eventlog"
@@ -26,6 +27,10 @@
 	// How long no slots are requested from a coordinator that was unresponsive or granted a slot at a target unknown to
 	// this entry.
 	avoidMillis lovageshift.Millis = 1000
+	// How long an entry keeps a granted slot while it doubts that the target has not restarted, and how often it looks. The answer
+	// to its question mostly arrives within that time. A coordinator drops slots that are not reported for twice as long.
+	maxDoubtWait  lovageshift.Millis = 200
+	doubtInterval                    = 10 * time.Millisecond
 	// How many other entries an entry requests a slot from, one after the other, before it queues the job at its own
 	// scheduler.
 	maxCoordinators = 2
@@ -91,8 +96,14 @@
 // isTargetUnusable reports whether the error of AcquireGranted is that of a target which the coordinator may grant because it
 // knows less of it than this entry.
 func isTargetUnusable(err error) bool {
-	return errors.Is(err, placement.ErrOverLimit) || errors.Is(err, placement.ErrOtherVersion) ||
-		errors.Is(err, placement.ErrLeaving) || errors.Is(err, placement.ErrUnavailable)
+	for _, known := range []error{
+		placement.ErrOverLimit, placement.ErrOtherVersion, placement.ErrDoubted, placement.ErrLeaving, placement.ErrUnavailable,
+	} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
 }
 
 // submitLocally queues the job at this entry's own scheduler and waits for the decision or the end of the context.
@@ -170,10 +181,10 @@
 			unanswered, interval = 0, refreshMillis
 			later := receive(ctx, replies, interval)
 			if later != nil && later.State != wire.ReserveState_RESERVE_STATE_QUEUED {
-				return c.accept(coordinator, id, group, job, later)
+				return c.accept(ctx, coordinator, id, group, job, later)
 			}
 		default:
-			return c.accept(coordinator, id, group, job, reply)
+			return c.accept(ctx, coordinator, id, group, job, reply)
 		}
 	}
 }
@@ -193,7 +204,7 @@
 // accept turns the coordinator's reply that a reservation is granted or refused into the decision on the job, and
 // acquires the slot if one is granted. If the slot cannot be used, it marks the target as tried and returns the error of
 // AcquireGranted.
-func (c *Client) accept(coordinator netip.Addr, id uint64, group placement.GroupID, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
+func (c *Client) accept(ctx context.Context, coordinator netip.Addr, id uint64, group placement.GroupID, job *placement.Job, reply *wire.ReserveReply) (placement.Decision, error) {
 	now := c.clock.Now()
 	if reply.State == wire.ReserveState_RESERVE_STATE_REFUSED {
 		reason := lovageshift.ReasonShed
@@ -211,6 +222,10 @@
 		Running: int(reply.Running), KeepsLimit: reply.KeepsLimit,
 	}
 	slot, err := c.scheduler.AcquireGranted(now, coordinator, grant, job)
+	for errors.Is(err, placement.ErrDoubted) && ctx.Err() == nil && c.clock.Now()-now < maxDoubtWait {
+		lovageshift.Pause(ctx, doubtInterval)
+		slot, err = c.scheduler.AcquireGranted(c.clock.Now(), coordinator, grant, job)
+	}
 	if err != nil {
 		c.end(coordinator, id, placement.Result{})
 		job.Tried = append(job.Tried, grant.Target)
