Run the simulations of leaving and full targets apart from the other tests of their package

Without it the package takes 66 s here.

Change: three simulations, 35 s of these, have a run of their own, with the race detector, the same seed and the same timeout.

--- a/test.sh
+++ b/test.sh
@@ -17,13 +17,16 @@
 red=$(awk '$1 == "test" {print $3}' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 # These take too long under the race detector and run without it below.
 slow=TestOriginsAreFoundInALargeFleet
-skip="^(${red:+$red|}$slow)\$"
+# These run apart from the other tests of their package, with which they would exceed its timeout.
+apart='TestLeavingTargetsGetNoRequests|TestEntriesTellThatTargetsLeave|TestFullTargetsGetNoRequests'
+skip="^(${red:+$red|}$slow|$apart)\$"
 
 # Only packages with rapid property tests accept rapid's seed flag.
 properties=$(go list -f '{{if .XTestImports}}{{.ImportPath}} {{join .XTestImports " "}}{{end}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
 others=$(go list ./... | grep -vxF "$properties" | grep -v '/trial$')
 go test -race -count=1 -timeout 5m -skip "$skip" $others
 go test -race -count=1 -timeout 5m -skip "$skip" $properties -args -rapid.seed=1
+go test -race -count=1 -timeout 5m ./reservation -run "^($apart)\$" -args -rapid.seed=1
 # The measurements in trial run the same code as the tests of fleet and take too long under the race detector, and so do
 # simulations of many entries.
 go test -count=1 -timeout 5m ./trial
