Ask a job whether it has tried a target in one way

Three places searched Job.Tried by themselves where Job.hasTried does it, which also spares the hash of the target for a job that has tried none. Found when the change was read again; no change of behaviour. go test ./placement passes.

--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"lovageshift"
 )
@@ -81,7 +80,7 @@
 			continue
 		}
 		switch {
-		case slices.Contains(w.job.Tried, HashOf(t.ID)):
+		case w.job.hasTried(t):
 			o.Tried++
 		case w.own && now < t.unavailable.openAt():
 			o.addUnavailable(t.unavailable.openAt() - now)
--- a/placement/unavailable.go
+++ b/placement/unavailable.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"lovageshift"
 )
@@ -97,7 +96,7 @@
 	var o Obstacles
 	for _, group := range s.groupsByService[job.Service] {
 		for _, t := range s.groups[group] {
-			if !job.fits(t) || slices.Contains(job.Tried, HashOf(t.ID)) {
+			if !job.fits(t) || job.hasTried(t) {
 				continue
 			}
 			at := t.unavailable.openAt()
@@ -144,7 +143,7 @@
 		return o
 	}
 	for _, t := range s.groups[group] {
-		if at := t.unavailable.openAt(); at > now && job.fits(t) && !slices.Contains(job.Tried, HashOf(t.ID)) {
+		if at := t.unavailable.openAt(); at > now && job.fits(t) && !job.hasTried(t) {
 			o.addUnavailable(at - now)
 			o.Tried = max(o.Tried-1, 0)
 		}
