Let the scheduler tell until when a target is doubted

The gateway searched for the end of the doubt, in up to 15 calls of MayHaveRestarted with later times, each of which locks the scheduler, with a bound of its own for a doubt without end. The scheduler knows both; DoubtEnds tells them.

No change of behaviour: the same time, and no doubt recorded where only the next record ends it. The tests of placement, stream and of gateway's streams pass as before.

--- a/gateway/undecided.go
+++ b/gateway/undecided.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"sync"
 
 	"lovageshift"
@@ -10,13 +9,8 @@
 	"lovageshift/stream"
 )
 
-const (
-	// A target of which it is not shown after this long that it has not started again since a lost connection never counts as the
-	// same incarnation.
-	maxRestartDoubt lovageshift.Millis = 30_000
-	// An origin that this entry cannot decide for so long after it might have been is left undecided.
-	undecidedMillis lovageshift.Millis = 10_000
-)
+// An origin that this entry cannot decide for so long after it might have been is left undecided.
+const undecidedMillis lovageshift.Millis = 10_000
 
 // undecidedStreams are streams that began at targets that may have started again, so that their versions are not known yet. It is
 // safe for concurrent use.
@@ -56,15 +50,11 @@
 // record it once it is known.
 func (r *request) decideLater(now lovageshift.Millis, slot *placement.Slot) {
 	g := r.gateway
-	doubt := lovageshift.Millis(sort.Search(int(maxRestartDoubt), func(later int) bool {
-		return !g.scheduler.MayHaveRestarted(now+lovageshift.Millis(later), slot)
-	}))
-	origin := stream.Origin{Doubt: stream.Doubt{
-		Target: stream.TargetHashOf(slot.Target.ID), Born: slot.Target.Born, DecidedAt: now + doubt,
-	}}
-	if doubt == maxRestartDoubt {
-		origin = stream.Origin{}
-	} else {
+	var origin stream.Origin
+	if decidedAt, ends := g.scheduler.DoubtEnds(now, slot); ends {
+		origin.Doubt = stream.Doubt{
+			Target: stream.TargetHashOf(slot.Target.ID), Born: slot.Target.Born, DecidedAt: decidedAt,
+		}
 		g.undecided.add(undecidedStream{r.headers.ID, origin})
 	}
 	g.streams.Record(r.headers.ID, origin)
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -105,6 +105,22 @@
 	return restarted || slot.state.mayHaveRestarted(now)
 }
 
+// DoubtEnds returns when the slot's target no longer counts as another incarnation (see MayHaveRestarted) if it shows as none by
+// then, and false if only its next record or an answer tells.
+func (s *Scheduler) DoubtEnds(now lovageshift.Millis, slot *Slot) (lovageshift.Millis, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := s.targets[slot.Target.ID]
+	switch {
+	case current != nil && current.Born != slot.Target.Born, slot.state.restarted:
+		return 0, false
+	case slot.state.mayHaveRestarted(now):
+		return slot.state.lostAt + recordDelayMillis, true
+	default:
+		return now, true
+	}
+}
+
 // ShownSame reports whether the slot's target is known to be the incarnation for which the slot was granted: a connection to it
 // was never lost, or it has answered since.
 func (s *Scheduler) ShownSame(slot *Slot) bool {
