Name a reported contact after what it is

"heard" and "spoilt" were used for what another entry reports and for a failing watch. No change of behaviour; the tests of discovery keep their checks.

--- a/discovery/absence.go
+++ b/discovery/absence.go
@@ -84,9 +84,9 @@
 		t.absence = contact{since: last, until: now}
 	}
 	if wasUnreachable || now-t.contact.until > maxContactGapMillis {
-		t.contact.since, t.heardBefore = now, now
+		t.contact.since, t.answeredSince = now, now
 		if !wasUnreachable {
-			t.heardBefore = t.othersContacts.sinceBefore(now)
+			t.answeredSince = t.othersContacts.sinceBefore(now)
 		}
 	}
 	t.contact.until = now
@@ -102,13 +102,13 @@
 	return now - t.contact.since, now - t.contact.until
 }
 
-// heardContact takes over another entry's contact with the store. The report was sent after sentAfter (Clock.SinceBoot) and
+// recordReportedContact takes over another entry's contact with the store. The report was sent after sentAfter (Clock.SinceBoot) and
 // before now, so that the span is no longer than it was.
-func (t *Tracker) heardContact(sentAfter lovageshift.Millis, report Report) {
+func (t *Tracker) recordReportedContact(sentAfter lovageshift.Millis, report Report) {
 	now := t.clock.SinceBoot()
-	heard := contact{since: now - report.Answered, until: sentAfter - report.AnsweredAgo}
-	if report.Answered > 0 && heard.since <= heard.until {
-		t.othersContacts = t.othersContacts.add(heard, now-contactRetentionMillis)
+	reported := contact{since: now - report.Answered, until: sentAfter - report.AnsweredAgo}
+	if report.Answered > 0 && reported.since <= reported.until {
+		t.othersContacts = t.othersContacts.add(reported, now-contactRetentionMillis)
 	}
 }
 
@@ -117,7 +117,7 @@
 func (t *Tracker) settleAbsence() {
 	t.mutex.Lock()
 	absence := t.absence
-	isOwn := absence.until > 0 && !t.restoredLately() && (t.othersContacts.covers(absence) || contact{t.heardBefore, t.contact.until}.covers(absence))
+	isOwn := absence.until > 0 && !t.restoredLately() && (t.othersContacts.covers(absence) || contact{t.answeredSince, t.contact.until}.covers(absence))
 	if isOwn {
 		t.absence = contact{}
 	}
--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -38,7 +38,7 @@
 func (t *Tracker) Confirm(at lovageshift.Millis, report Report) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.heardContact(at+report.Age, report)
+	t.recordReportedContact(at+report.Age, report)
 	order := report.Position.Compare(t.position)
 	if order <= 0 && report.Catalog > t.catalog {
 		t.lostCatalog, t.lostCatalogAt = report.Catalog, t.clock.Now()
--- a/discovery/rawstore_test.go
+++ b/discovery/rawstore_test.go
@@ -27,7 +27,7 @@
 	events   []string // the event at index i is that of revision i+1
 	changed  chan struct{}
 	endless  bool // a range always has more
-	spoilt   int  // status with which watches are answered, and bytes that are no page; 0 if they are served
+	failing  int  // status with which watches are answered, and bytes that are no page; 0 if they are served
 	stopped  chan struct{}
 	stopOnce sync.Once
 }
@@ -77,7 +77,7 @@
 func (s *rawStore) spoilWatches(status int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.spoilt = status
+	s.failing = status
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -92,11 +92,11 @@
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	for {
 		s.mutex.Lock()
-		events, changed, spoilt := s.events, s.changed, s.spoilt
+		events, changed, failing := s.events, s.changed, s.failing
 		s.mutex.Unlock()
-		if spoilt != 0 {
+		if failing != 0 {
 			time.Sleep(10 * time.Millisecond)
-			w.WriteHeader(spoilt)
+			w.WriteHeader(failing)
 			_, _ = w.Write([]byte(`{"events":{`))
 			return
 		}
--- a/discovery/tracker.go
+++ b/discovery/tracker.go
@@ -76,8 +76,8 @@
 	lostCatalogAt lovageshift.Millis
 	// contact is the time in which the store has answered this entry, othersContacts the times in which it has answered others.
 	contact contact
-	// heardBefore is since when the store has answered others and then this entry, none of whose calls failed for long.
-	heardBefore    lovageshift.Millis
+	// answeredSince is since when the store has answered others and then this entry, none of whose calls failed for long.
+	answeredSince  lovageshift.Millis
 	othersContacts contacts
 	// absence is the last outage of the store as seen here, empty once others had the store's answers in it.
 	absence contact
