--- a/reservation/leaving_test.go
+++ b/reservation/leaving_test.go
@@ -159,15 +159,7 @@
 // which the target says that it leaves, whatever the store says, and against a target that gets none after it has started anew.
 func TestLeavingTargetsGetNoRequests(test *testing.T) {
 	rapid.Check(test, func(t *rapid.T) {
-		s := limitScenario{
-			freezes: true,
-			entries: rapid.SampledFrom([]int{1, 3, 3, 3, 8, 8, 30, 103}).Draw(t, "entries"),
-			targets: rapid.SampledFrom([]int{3, 6, 12}).Draw(t, "targets"),
-		}
-		s.limited = rapid.IntRange(1, s.targets-1).Draw(t, "leaving")
-		s.load = 60 / float64(s.entries)
-		s.oldBuilds = rapid.IntRange(0, s.entries/2).Draw(t, "oldBuilds")
-		s.faultEvery = lovageshift.Millis(rapid.IntRange(8000, 60_000).Draw(t, "faultEvery") / s.entries)
+		s := drawFaultyScenario(t, 60, 1)
 		sim := s.playLeaving(test, rapid.Bool().Draw(t, "tells"), rapid.Uint64().Draw(t, "seed"))
 		if sim.afterTold > 0 {
 			t.Fatalf("%d requests reached targets through entries that knew that they leave", sim.afterTold)
--- a/reservation/limits_test.go
+++ b/reservation/limits_test.go
@@ -196,6 +196,21 @@
 	return s
 }
 
+// drawFaultyScenario draws an installation with faults of entries and with earlier builds. All entries together get
+// load requests a second. At least the given number of targets are not of the kind that the scenario is about.
+func drawFaultyScenario(t *rapid.T, load float64, others int) limitScenario {
+	s := limitScenario{
+		freezes: true,
+		entries: rapid.SampledFrom([]int{1, 3, 3, 3, 8, 8, 30, 103}).Draw(t, "entries"),
+		targets: rapid.SampledFrom([]int{3, 6, 12}).Draw(t, "targets"),
+	}
+	s.limited = rapid.IntRange(1, s.targets-others).Draw(t, "limited")
+	s.load = load / float64(s.entries)
+	s.oldBuilds = rapid.IntRange(0, s.entries/2).Draw(t, "oldBuilds")
+	s.faultEvery = lovageshift.Millis(rapid.IntRange(8000, 60_000).Draw(t, "faultEvery") / s.entries)
+	return s
+}
+
 func checkLimits(t *rapid.T, test *testing.T, s limitScenario) {
 	seed := rapid.Uint64().Draw(t, "seed")
 	var sim *limitSimulation
--- a/reservation/unavailable_test.go
+++ b/reservation/unavailable_test.go
@@ -129,15 +129,7 @@
 // wants none, and against a target that gets none after it.
 func TestFullTargetsGetNoRequests(test *testing.T) {
 	rapid.Check(test, func(t *rapid.T) {
-		s := limitScenario{
-			freezes: true,
-			entries: rapid.SampledFrom([]int{1, 3, 3, 3, 8, 8, 30, 103}).Draw(t, "entries"),
-			targets: rapid.SampledFrom([]int{3, 6, 12}).Draw(t, "targets"),
-		}
-		s.limited = rapid.IntRange(1, s.targets).Draw(t, "full")
-		s.load = 90 / float64(s.entries)
-		s.oldBuilds = rapid.IntRange(0, s.entries/2).Draw(t, "oldBuilds")
-		s.faultEvery = lovageshift.Millis(rapid.IntRange(8000, 60_000).Draw(t, "faultEvery") / s.entries)
+		s := drawFaultyScenario(t, 90, 0)
 		sim := s.playUnavailable(test, rapid.Bool().Draw(t, "flaps"), rapid.Uint64().Draw(t, "seed"))
 		for _, n := range sim.notices {
 			if n.late > lateRequests {
