Count requests at a leaving target from the first answer that says so

Cause: the test, not the code. It counts requests "later than 1 s after the first answer", but counted from the moment at which targets would say so if they were asked. Where the views of all coordinators lacked them until 2.4 s, a backlog of requests reached them in the same millisecond, before any answer had reached any entry: each of these late requests, as logged, came before the first answer.

Change: it counts from the first answer that an entry got, as its line says. The bound between the two counts stays.

--- a/reservation/leaving_test.go
+++ b/reservation/leaving_test.go
@@ -30,9 +30,10 @@
 
 	// Guarded by mutex. told holds what each incarnation of an entry has received, by incarnation of a target.
 	told      map[toldKey]bool
-	afterTold int // requests that reach a target through an entry that was told
-	afterSaid int // requests that reach a target later than a second after it first said so
-	restarted int // requests that reach the targets' next incarnations
+	firstTold map[lovageshift.TargetID]lovageshift.Millis // when an entry was first told, since the start
+	afterTold int                                         // requests that reach a target through an entry that was told
+	afterSaid int                                         // requests that reach a target later than a second after an entry was first told
+	restarted int                                         // requests that reach the targets' next incarnations
 }
 
 // toldKey is a target's incarnation as told to an entry's incarnation.
@@ -43,7 +44,10 @@
 }
 
 func newLeavingSimulation(s limitScenario, tells bool, seed uint64) *leavingSimulation {
-	sim := &leavingSimulation{limitSimulation: newLimitSimulation(s, seed), tells: tells, told: map[toldKey]bool{}}
+	sim := &leavingSimulation{
+		limitSimulation: newLimitSimulation(s, seed), tells: tells,
+		told: map[toldKey]bool{}, firstTold: map[lovageshift.TargetID]lovageshift.Millis{},
+	}
 	sim.serveOne = sim.serveLeaving
 	sim.mergeUpdate = func(now lovageshift.Millis, from, to *placement.Scheduler) {
 		if tells {
@@ -123,6 +127,9 @@
 		scheduler.RecordLeaving(s.clock.Now(), id, born)
 		s.mutex.Lock()
 		s.told[toldKey{scheduler, id, born}] = true
+		if _, found := s.firstTold[id]; !found {
+			s.firstTold[id] = since
+		}
 		s.mutex.Unlock()
 	}
 	time.Sleep(service.Duration())
@@ -134,7 +141,8 @@
 	if s.told[key] {
 		s.afterTold++
 	}
-	if born == 0 && since >= saidMillis+1000 && since < restartMillis && !old {
+	first, wasTold := s.firstTold[key.target]
+	if born == 0 && wasTold && since >= first+1000 && since < restartMillis && !old {
 		s.afterSaid++
 	}
 	if born > 0 {
