Show that a stream cut by a killed entry looks complete

A body without length and chunks is forwarded in the same form. When the entry's process is killed, the kernel closes the caller's connection in order, so that the caller takes what it has for all of it.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -21,7 +21,9 @@
 	// replicas are their ids.
 	replicas []string
 	events   int
-	err      error
+	// ended is set if the answer ended after a whole event.
+	ended bool
+	err   error
 }
 
 // clients are stand-ins of clients.
@@ -96,6 +98,7 @@
 	if a.status != http.StatusOK {
 		return
 	}
+	a.ended = line == ""
 	line, isData := strings.CutPrefix(line, "data: ")
 	fields := strings.Fields(line)
 	if inStream && !isData || len(fields) < 2 {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,8 +26,8 @@
 var cases = map[string]func(*bed) (verdict, error){
 	"revoked-key":   runRevokedKey,
 	"mixed-version": runMixedVersion,
-	"odd-record":    runOddRecord,
 	"lone-entry":    runLoneEntry,
+	"killed-entry":  runKilledEntry,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -25,6 +25,8 @@
 	id      string
 	service string
 	number  int
+	// unframedEvery makes each stream of this number one without length and chunks, which ends with its channel; 0 for none.
+	unframedEvery int
 	// onRun is called when the replica begins to run a request.
 	onRun func(r *replica, version string, req *http.Request)
 
@@ -35,6 +37,7 @@
 	sequence int
 	server   *http.Server
 	running  int
+	streams  int
 }
 
 // addReplica starts a replica and writes its record now and at each heartbeat.
@@ -176,9 +179,20 @@
 	r.running = max(r.running-1, 0)
 }
 
+// isUnframed counts a stream and reports whether it ends with its channel.
+func (r *replica) isUnframed() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.streams++
+	return r.unframedEvery > 0 && r.streams%r.unframedEvery == 0
+}
+
 // stream writes the events after the one that the request names.
 func (r *replica) stream(w http.ResponseWriter, req *http.Request, version string) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.isUnframed() {
+		w.Header()["Transfer-Encoding"] = []string{"identity"} // net/http then ends the body by closing the channel
+	}
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	for number := last + 1; number <= streamEvents; number++ {
 		select {
