--- a/review/stand/revoked.go
+++ b/review/stand/revoked.go
@@ -64,7 +64,7 @@
 		b.store.Restore(older)
 		b.note("the store has come back from the copy")
 		b.storeBack()
-		sleep(start, 9*time.Second)
+		sleep(start, 8*time.Second)
 		b.operate(configuration(7, newKey))
 	}
 	sleep(start, 15500*time.Millisecond)
