Show that an entry that comes back makes the others refuse its accounts

An entry that was silent for more than 12 s is forgotten. If the same process goes on, its first update counts as that of an entry that has just started, so that all it has charged in its lifetime is subtracted from the accounts at each entry that started before it.

--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -59,10 +59,12 @@
 	network string // 127.N
 	store   *standin.Store
 	gate    *gate
-	server  *http.Server
-	stop    context.CancelFunc
-	context context.Context
-	tasks   errgroup.Group
+	// behindRelay holds the entries that have a relay between them and all others.
+	behindRelay map[int]bool
+	server      *http.Server
+	stop        context.CancelFunc
+	context     context.Context
+	tasks       errgroup.Group
 
 	mutex    sync.Mutex
 	record   *os.File
@@ -151,6 +153,9 @@
 	settings["limits"] = map[string]any{
 		"cpu_share": 0.304, "cores": 1, "memory_mb": 284, "file_descriptors": 4200, "link_mbps": 1000, "disk_mb": 0,
 	}
+	if b.behindRelay[number] {
+		settings["internal_ports"] = []int{innerPort, innerPort + 15}
+	}
 	return b.startProcess("gateway", settings)
 }
 
@@ -238,6 +243,16 @@
 	return nil
 }
 
+// signalEntry sends a signal to an entry's process.
+func (b *bed) signalEntry(number int, signal syscall.Signal) error {
+	name := fmt.Sprintf("front-%d", number)
+	b.mutex.Lock()
+	process := b.commands[name]
+	b.mutex.Unlock()
+	b.note("%v to %s", signal, name)
+	return process.Process.Signal(signal)
+}
+
 // startAll starts the entries, and a recorder beside each replica, and waits until all entries are ready and have been in
 // touch for long enough that the rules hold.
 func (b *bed) startAll(entries int) error {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,10 +24,11 @@
 }
 
 var cases = map[string]func(*bed) (verdict, error){
-	"revoked-key":   runRevokedKey,
-	"mixed-version": runMixedVersion,
-	"lone-entry":    runLoneEntry,
-	"killed-entry":  runKilledEntry,
+	"revoked-key":    runRevokedKey,
+	"mixed-version":  runMixedVersion,
+	"lone-entry":     runLoneEntry,
+	"killed-entry":   runKilledEntry,
+	"returned-entry": runReturnedEntry,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
