Explain where a request would go now, without sending it

Cause: operators could see why a request had been refused, but not where one would go now. The checks of a target are one function, obstacleAt, which decides, counts obstacles in refusals and names them here.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -258,16 +258,26 @@
 	if r.account == nil {
 		return nil
 	}
-	r.cost = quota.Cost(r.account, r.headers.HasTokenCounts, r.headers.PromptTokens+r.headers.OutputTokens)
+	r.cost = r.quotaCost()
 	wait, ok := r.gateway.meter.Charge(r.gateway.clock.Now(), r.account, r.cost, r.maxQuotaWait())
 	if !ok {
-		return lovageshift.NotRun(lovageshift.ReasonRateExceeded, "beyond the account's rate and burst").WithRetryAfter(wait)
+		return rateRefusal(wait)
 	}
 	r.charged = true
 	r.summary.throttled = wait
 	return nil
 }
 
+// quotaCost returns what the account is charged for the request, in tokens.
+func (r *request) quotaCost() lovageshift.Tokens {
+	return quota.Cost(r.account, r.headers.HasTokenCounts, r.headers.PromptTokens+r.headers.OutputTokens)
+}
+
+// rateRefusal returns the refusal of a request whose account has the tokens for it only after the wait.
+func rateRefusal(wait lovageshift.Millis) *lovageshift.Refusal {
+	return lovageshift.NotRun(lovageshift.ReasonRateExceeded, "beyond the account's rate and burst").WithRetryAfter(wait)
+}
+
 // maxQuotaWait returns how long the request may wait for its account's tokens; 0, for no wait, if the route sets no
 // latency objective.
 func (r *request) maxQuotaWait() lovageshift.Millis {
@@ -352,6 +362,12 @@
 // newJob returns the job for the scheduler. If the caller repeats a request whose refusal is on record, newJob deletes
 // that record and sets RefusedBefore, unless the request goes on with a stream.
 func (r *request) newJob() *placement.Job {
+	wasRefused := r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
+	return r.jobAfter(wasRefused)
+}
+
+// jobAfter returns the job for the scheduler of a request that was refused before or not.
+func (r *request) jobAfter(wasRefused bool) *placement.Job {
 	objective := r.route.Objective
 	if objective == 0 {
 		objective = defaultObjective
@@ -372,7 +388,6 @@
 		HasVersion:     r.hasRelease,
 		Version:        r.release,
 	}
-	wasRefused := r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
 	job.RefusedBefore = wasRefused && !job.Resumes
 	job.LimitWait()
 	return job
--- /dev/null
+++ b/gateway/where.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"lovageshift"
+	"lovageshift/catalog"
+	"lovageshift/platform"
+	"lovageshift/quota"
+	"lovageshift/reservation"
+)
+
+// Inquiry describes a request of which an operator asks where it would go now.
+type Inquiry struct {
+	// Host and Path select the route, as of a caller's request.
+	Host string `json:"host"`
+	Path string `json:"path"`
+	// RequestID selects the service of a route whose requests are divided among several.
+	RequestID string `json:"requestId"`
+	// Account is the client account, "" for a request without a key.
+	Account lovageshift.AccountID `json:"account"`
+	// Zone is the availability zone from which the request is sent, "" for that of the entry.
+	Zone lovageshift.ZoneID `json:"zone"`
+	// PromptTokens and OutputTokens are what the caller declares, both 0 if it declares nothing. ExpectedOutput is its
+	// estimate of the output, 0 for none.
+	PromptTokens   lovageshift.Tokens `json:"promptTokens"`
+	OutputTokens   lovageshift.Tokens `json:"outputTokens"`
+	ExpectedOutput lovageshift.Tokens `json:"expectedOutput"`
+	// TimeoutMillis is how long the caller waits for the response, 0 if it does not say.
+	TimeoutMillis lovageshift.Millis `json:"timeoutMillis"`
+	// RefusedBefore is set for a request that its caller repeats after a refusal.
+	RefusedBefore bool `json:"refusedBefore"`
+}
+
+// Check returns an error that names the first invalid or missing field.
+func (i Inquiry) Check() error {
+	switch {
+	case i.Host == "":
+		return trace.BadParameter("host: missing")
+	case !strings.HasPrefix(i.Path, "/"):
+		return trace.BadParameter("path: %q does not begin with a slash", i.Path)
+	}
+	counts := []struct {
+		field string
+		value int64
+	}{
+		{"promptTokens", int64(i.PromptTokens)},
+		{"outputTokens", int64(i.OutputTokens)},
+		{"expectedOutput", int64(i.ExpectedOutput)},
+		{"timeoutMillis", int64(i.TimeoutMillis)},
+	}
+	for _, count := range counts {
+		if count.value < 0 {
+			return trace.BadParameter("%s: %d is negative", count.field, count.value)
+		}
+	}
+	return nil
+}
+
+// Whereabouts says where a request would go now and why. The body of the request and the parts of its prompt, which may be
+// quarantined, are not considered.
+type Whereabouts struct {
+	Route   lovageshift.RouteID   `json:"route"`
+	Service catalog.ServiceID     `json:"service"`
+	Account lovageshift.AccountID `json:"account"`
+	// Zone is the availability zone from which the request is sent.
+	Zone lovageshift.ZoneID `json:"zone"`
+	// Rank is the rank in the queue; requests of the smallest number go first.
+	Rank lovageshift.Rank `json:"rank"`
+	// Allowance is what is left to the client account, Cost what the request is charged, in tokens.
+	Allowance quota.Allowance    `json:"allowance"`
+	Cost      lovageshift.Tokens `json:"cost"`
+	// Refused is the reason for which the request would be refused before it is queued, "" if it would be queued.
+	Refused    lovageshift.Reason `json:"refused,omitempty"`
+	Detail     string             `json:"detail,omitempty"`
+	RetryAfter lovageshift.Millis `json:"retryAfterMillis,omitempty"`
+	// QueueTime is how long the request may wait for a slot.
+	QueueTime lovageshift.Millis `json:"queueMillis"`
+	// Groups are the groups of the service's targets. The request is sent to one of them, drawn by its free slots.
+	Groups []reservation.GroupExplanation `json:"groups"`
+}
+
+func (w Whereabouts) refuse(refusal *lovageshift.Refusal) Whereabouts {
+	w.Refused, w.Detail, w.RetryAfter = refusal.Reason, refusal.Detail, refusal.RetryAfter
+	return w
+}
+
+// Where explains where a request would go now, by the code that decides on callers' requests, and changes nothing. Its error
+// names the field of an inquiry that is invalid or names what does not exist.
+func (g *Gateway) Where(inquiry Inquiry) (Whereabouts, error) {
+	if err := inquiry.Check(); err != nil {
+		return Whereabouts{}, err
+	}
+	key, found := g.anyKeyOf(inquiry.Account)
+	if !found {
+		return Whereabouts{}, trace.BadParameter("account: no client account %q with a key", inquiry.Account)
+	}
+	return g.where(inquiry, key), nil
+}
+
+func (g *Gateway) where(inquiry Inquiry, key string) Whereabouts {
+	r := g.hypotheticalRequest(inquiry, key)
+	refusal := r.authorize()
+	if r.route == nil {
+		return Whereabouts{}.refuse(refusal)
+	}
+	w := Whereabouts{Route: r.route.ID, Service: r.service, Account: inquiry.Account}
+	if refusal != nil {
+		return w.refuse(refusal)
+	}
+	w.Rank = r.rank()
+	if r.account != nil {
+		w.Cost = r.quotaCost()
+		w.Allowance = g.meter.Allowance(r.arrived, r.account, w.Cost)
+	}
+	if w.Allowance.Wait > r.maxQuotaWait() {
+		return w.refuse(rateRefusal(w.Allowance.Wait))
+	}
+	job := r.jobAfter(inquiry.RefusedBefore)
+	if inquiry.Zone != "" {
+		job.Zone = inquiry.Zone
+	}
+	w.Zone = job.Zone
+	w.QueueTime = job.QueueDeadline - job.Arrived
+	w.Groups = g.reservations.Explain(r.arrived, job)
+	return w
+}
+
+// hypotheticalRequest returns the request of an inquiry, which is not sent.
+func (g *Gateway) hypotheticalRequest(inquiry Inquiry, key string) *request {
+	headers := platform.RequestHeader{
+		ID: inquiry.RequestID, CallerTimeout: inquiry.TimeoutMillis, Key: key,
+		HasTokenCounts: inquiry.PromptTokens > 0 || inquiry.OutputTokens > 0,
+		PromptTokens:   inquiry.PromptTokens, OutputTokens: inquiry.OutputTokens, OutputEstimate: inquiry.ExpectedOutput,
+	}
+	return &request{gateway: g, req: &http.Request{Host: inquiry.Host}, path: inquiry.Path, headers: headers, arrived: g.clock.Now()}
+}
+
+// anyKeyOf returns a key that the client account holds, and false if there is none. Without an account it returns "" and true.
+func (g *Gateway) anyKeyOf(id lovageshift.AccountID) (string, bool) {
+	view := g.tracker.View()
+	if id == "" || view == nil {
+		return "", true
+	}
+	account := view.Catalog.Accounts()[id]
+	if account == nil || len(account.Keys) == 0 {
+		return "", false
+	}
+	return account.Keys[0], true
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -51,24 +51,10 @@
 	return best
 }
 
-// eligible reports whether a free target may get the waiter's job now: it can run the job and was not tried for it, it still has
-// capacity, it wants requests of this entry if the job is one, it is within the limit that it named and, if it may be cold, the waiter may get a cold target, this entry has a
-// quorum and the target is below its cold limit.
+// eligible reports whether a target may get the waiter's job now: it can run the job and nothing keeps the job from it, see
+// obstacleAt.
 func (s *Scheduler) eligible(now lovageshift.Millis, t *targetState, w *Waiter) bool {
-	switch {
-	case !w.job.fits(t), w.job.HasVersion && s.doubts(now, t):
-		return false
-	case w.own && now < t.unavailable.openAt():
-		return false
-	case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
-		return false
-	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
-		return false
-	case t.running() >= t.capacity():
-		return false
-	default:
-		return !w.job.hasTried(t)
-	}
+	return w.job.fits(t) && s.obstacleAt(now, t, w) == noObstacle
 }
 
 // mayAssignCold reports whether this entry may assign a target that may be cold to the waiter.
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -71,6 +71,43 @@
 	}
 }
 
+// obstacle names what keeps a job from a target that can run it.
+type obstacle string
+
+// The obstacles, in the order in which they are looked for; see Obstacles.
+const (
+	obstacleTried       obstacle = "tried"
+	obstacleUnavailable obstacle = "unavailable"
+	obstacleBackoff     obstacle = "backoff"
+	obstacleRestarted   obstacle = "mayHaveRestarted"
+	obstacleCold        obstacle = "cold"
+	obstacleLimited     obstacle = "limited"
+	obstacleFull        obstacle = "full"
+	noObstacle          obstacle = ""
+)
+
+// obstacleAt returns what keeps the waiter's job from a target that can run it, noObstacle if nothing does.
+func (s *Scheduler) obstacleAt(now lovageshift.Millis, t *targetState, w *Waiter) obstacle {
+	switch {
+	case w.job.hasTried(t):
+		return obstacleTried
+	case w.own && now < t.unavailable.openAt():
+		return obstacleUnavailable
+	case now < t.backoffUntil:
+		return obstacleBackoff
+	case w.job.HasVersion && s.doubts(now, t):
+		return obstacleRestarted
+	case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
+		return obstacleCold
+	case t.limit.inForce(now) && !s.withinLimit(now, t, w):
+		return obstacleLimited
+	case t.running() >= t.capacity():
+		return obstacleFull
+	default:
+		return noObstacle
+	}
+}
+
 // obstacles returns what keeps the waiter's job from the targets of its group.
 func (s *Scheduler) obstacles(now lovageshift.Millis, w *Waiter) Obstacles {
 	var o Obstacles
@@ -79,20 +116,20 @@
 		if !w.job.fits(t) {
 			continue
 		}
-		switch {
-		case w.job.hasTried(t):
+		switch s.obstacleAt(now, t, w) {
+		case obstacleTried:
 			o.Tried++
-		case w.own && now < t.unavailable.openAt():
+		case obstacleUnavailable:
 			o.addUnavailable(t.unavailable.openAt() - now)
-		case now < t.backoffUntil:
+		case obstacleBackoff:
 			o.Backoff++
-		case w.job.HasVersion && s.doubts(now, t):
+		case obstacleRestarted:
 			o.MayHaveRestarted++
-		case t.mayBeCold(now) && !s.mayAssignCold(now, t, w):
+		case obstacleCold:
 			o.Cold++
-		case t.limit.inForce(now) && !s.withinLimit(now, t, w):
+		case obstacleLimited:
 			o.Limited++
-		case t.running() >= t.capacity():
+		case obstacleFull:
 			o.Full++
 		default:
 			o.Free++
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -189,6 +189,7 @@
 			http.Error(w, err.Error(), trace.ErrorToCode(err))
 		}
 	})
+	router.HandleFunc("/where", p.serveWhere).Methods(http.MethodPost)
 	return router
 }
 
--- a/process/gateway_test.go
+++ b/process/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +62,30 @@
 	return response.StatusCode, string(content)
 }
 
+// post posts the content and returns the body of the response, whatever its status.
+func post(url, content string) string {
+	response, err := http.Post(url, "application/json", strings.NewReader(content))
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+// requestCounters returns the lines of the metrics that count requests, refusals and retries.
+func requestCounters(metrics string) string {
+	var counters []string
+	for line := range strings.Lines(metrics) {
+		for _, name := range []string{"lovageshift_refusals", "lovageshift_retries", "lovageshift_answers", "lovageshift_wait_seconds"} {
+			if strings.HasPrefix(line, name) {
+				counters = append(counters, line)
+			}
+		}
+	}
+	return strings.Join(counters, "")
+}
+
 // waitForStatus repeats the request for about 10 s until the response has the status and returns its body, or "" if no
 // response has it, so that the caller's next assertion fails.
 func waitForStatus(url string, status int) string {
@@ -111,6 +136,19 @@
 		So(lines, ShouldNotContainSubstring, "withdrawn-key")
 		So(waitForStatus(operators+"/requests/r-1", http.StatusNotFound), ShouldNotBeEmpty)
 
+		_, before := get(operators + "/metrics")
+		where := post(operators+"/where", `{"host": "h", "path": "/read/x", "account": "acme"}`)
+		So(where, ShouldContainSubstring, `"route":"read"`)
+		So(where, ShouldContainSubstring, `"target":"t-1"`)
+		So(where, ShouldNotContainSubstring, "very-secret")
+		So(post(operators+"/where", `{"host": "h", "path": "/none"}`), ShouldContainSubstring, `"refused":"notFound"`)
+		So(post(operators+"/where", `{"host": "h", "path": "/read/x", "promptTokens": -1}`), ShouldContainSubstring, "promptTokens: -1 is negative")
+		So(post(operators+"/where", `{"hots": "h"}`), ShouldContainSubstring, "hots")
+		So(post(operators+"/where", `{"host": "h", "path": "/read/x", "account": "acem"}`), ShouldContainSubstring, `account: no client account "acem"`)
+		_, after := get(operators + "/metrics")
+		So(requestCounters(before), ShouldContainSubstring, "lovageshift_answers")
+		So(requestCounters(after), ShouldEqual, requestCounters(before))
+
 		stop()
 		So(run.Wait(), ShouldBeNil)
 	})
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -158,9 +158,7 @@
 		return 0, false
 	}
 	m.refill(now, state)
-	rate, burst := state.account.Rate*m.fraction, state.account.Burst*m.fraction
-	wait := state.used.wait(float64(cost), rate, burst)
-	wait = max(wait, state.declared.wait(float64(cost), rate*m.declaredFactor(), m.declaredBurst(state)))
+	wait := m.waitFor(state, cost)
 	if wait > maxWait {
 		return wait, false
 	}
@@ -169,6 +167,39 @@
 	return wait, true
 }
 
+// waitFor returns the time in which both buckets refill up to the cost, or up to their burst if the cost exceeds it.
+func (m *Meter) waitFor(state *accountState, cost lovageshift.Tokens) lovageshift.Millis {
+	rate, burst := state.account.Rate*m.fraction, state.account.Burst*m.fraction
+	wait := state.used.wait(float64(cost), rate, burst)
+	return max(wait, state.declared.wait(float64(cost), rate*m.declaredFactor(), m.declaredBurst(state)))
+}
+
+// Allowance is what a client account may use now, as this entry knows it.
+type Allowance struct {
+	// Limited is set if the account has a rate. The other fields are 0 otherwise.
+	Limited bool `json:"limited"`
+	// UsedLeft and DeclaredLeft are the tokens left in the buckets, negative if more were taken than there were.
+	UsedLeft     lovageshift.Tokens `json:"usedLeft"`
+	DeclaredLeft lovageshift.Tokens `json:"declaredLeft"`
+	// Wait is the time until the account has the tokens for the request.
+	Wait lovageshift.Millis `json:"waitMillis"`
+}
+
+// Allowance returns what the account may use, and how long a request of the cost in tokens would wait, and charges nothing.
+func (m *Meter) Allowance(now lovageshift.Millis, account *catalog.Account, cost lovageshift.Tokens) Allowance {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	state := m.accounts[account.ID]
+	if account.Rate <= 0 || state == nil {
+		return Allowance{}
+	}
+	m.refill(now, state)
+	return Allowance{
+		Limited: true, UsedLeft: lovageshift.Tokens(state.used.level), DeclaredLeft: lovageshift.Tokens(state.declared.level),
+		Wait: m.waitFor(state, cost),
+	}
+}
+
 // wait returns how many milliseconds it takes until the bucket holds the cost. The cost and the burst are in tokens, the rate
 // is in tokens per second. A request that costs more than the burst needs only a full bucket, as it could never run otherwise.
 func (t *tokenBucket) wait(cost, rate, burst float64) lovageshift.Millis {
