--- a/standin/operator.go
+++ b/standin/operator.go
@@ -74,6 +74,9 @@
 	// FirstPort is the lowest port that the VM's processes use; the entry serves callers on it.
 	FirstPort int
 	Bounds    map[string]any // the settings under "bounds", by their names in the file
+	// MemoryMegabytes and FileDescriptors are the VM's limits, 0 to name none.
+	MemoryMegabytes int
+	FileDescriptors int
 	// Restarted is set once the whole installation has started for the first time.
 	Restarted bool
 }
@@ -92,6 +95,7 @@
 		},
 		"internal_ports": []int{v.FirstPort + internalOffset, v.FirstPort + internalOffset + 15},
 		"platform":       map[string]any{"address": v.Store},
+		"limits":         map[string]any{"memory_mb": v.MemoryMegabytes, "file_descriptors": v.FileDescriptors},
 	})
 }
 
