Limit the memory and the connections of callers

Cause: bodies were read with io.ReadAll and nothing limited their sum, nor the number of connections; a crowd of callers could take an entry beyond its VM. Change: package memory: a budget in bytes (an owner, which is an account or an address, holds at most twice what is still free; stalled bodies are evicted while less than a quarter is free), a reader of bodies within it, and a listener that closes idle connections first. lovageshift gateway derives the limits, and the Go runtime's, from limits.memory_mb and limits.file_descriptors; without these it serves as before. Refusals: 413, 503 memoryExhausted with Retry-After, 408 bodyTooSlow; the connection is closed without reading on.

--- a/framing/body.go
+++ b/framing/body.go
@@ -89,12 +89,12 @@
 	if !complete {
 		return used, nil
 	}
-	line, found := strings.CutSuffix(string(s.line), "\r\n")
+	line, found := bytes.CutSuffix(s.line, []byte("\r\n"))
 	s.line = s.line[:0]
-	if !found || strings.ContainsRune(line, '\r') {
+	if !found || bytes.IndexByte(line, '\r') >= 0 {
 		return 0, ErrAmbiguous
 	}
-	return used, s.handleLine(line)
+	return used, s.handleLine(string(line))
 }
 
 func (s *bodyScanner) handleLine(line string) error {
--- a/framing/listener.go
+++ b/framing/listener.go
@@ -42,6 +42,8 @@
 	// ones, or the replacement for rejected ones.
 	pending []byte
 	ready   []byte
+	// buffer holds pending and ready while a body is received, so that a body of many small pieces leaves no garbage.
+	buffer []byte
 	// body scans the body of the current request.
 	body bodyScanner
 	// oversized is set once a header exceeds the limit. Read then returns filler bytes, which continue the replacement
@@ -79,8 +81,12 @@
 	return tcp.SetLinger(seconds)
 }
 
-// fill receives more bytes into pending.
+// fill receives more bytes into pending. The ready bytes have all been read.
 func (c *conn) fill() error {
+	if c.body.inBody() && len(c.pending) == 0 {
+		return c.fillBuffer()
+	}
+	c.buffer = nil
 	var buffer [readBufferBytes]byte
 	count, err := c.Conn.Read(buffer[:])
 	c.pending = append(c.pending, buffer[:count]...)
@@ -90,6 +96,19 @@
 	return err
 }
 
+// fillBuffer receives more bytes into pending, which is empty, by way of the buffer.
+func (c *conn) fillBuffer() error {
+	if c.buffer == nil {
+		c.buffer = make([]byte, readBufferBytes)
+	}
+	count, err := c.Conn.Read(c.buffer)
+	c.pending = c.buffer[:count:count]
+	if count > 0 {
+		return nil
+	}
+	return err
+}
+
 // advance checks pending bytes, and moves them to ready or sets ready to their replacement. It returns false if more
 // bytes must be received first.
 func (c *conn) advance() bool {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -202,6 +202,7 @@
 // refuse writes the refusal to the caller as the response, and logs and counts it.
 func (r *request) refuse(refusal *lovageshift.Refusal) {
 	r.prepareRepeat(refusal)
+	r.limitUnread()
 	header := r.w.Header()
 	platform.SetRequestID(header, r.headers.ID)
 	if refusal.RetryAfter > 0 {
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"lovageshift"
+	"lovageshift/delivery"
+	"lovageshift/memory"
+)
+
+const (
+	// Retry-After of a request that was refused for lack of memory: about how long stalled bodies take to be evicted.
+	memoryRetryAfter lovageshift.Millis = 1000
+	// How long the rest of the body of a refused request may take to arrive, before the connection is closed.
+	unreadLimit = 5 * time.Second
+)
+
+// readBody reads the whole body, up to the configured limit and within the memory budget.
+func (r *request) readBody() *lovageshift.Refusal {
+	if r.req.ContentLength == 0 {
+		return nil
+	}
+	g := r.gateway
+	limit := g.tracker.View().Catalog.Limits.BodyBytes
+	if limit <= 0 {
+		limit = lovageshift.DefaultLimits().BodyBytes
+	}
+	source := memory.Source{
+		Body: r.req.Body, Length: memory.Bytes(r.req.ContentLength), Limit: memory.Bytes(limit), Owner: r.owner(), Clock: g.clock,
+		SetReadDeadline: http.NewResponseController(r.w).SetReadDeadline,
+	}
+	if g.budget != nil {
+		source.Deadline = r.deadline
+	}
+	var err error
+	r.body, r.held, err = g.budget.ReadBody(source)
+	if err == nil {
+		return nil
+	}
+	delivery.CloseUnread(r.w)
+	return r.bodyRefusal(err, source.Owner)
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func (r *request) bodyRefusal(err error, owner memory.Owner) *lovageshift.Refusal {
+	switch {
+	case errors.Is(err, memory.ErrOverLimit), errors.Is(err, memory.ErrTooLarge):
+		return lovageshift.NotRun(lovageshift.ReasonBodyTooLarge, err.Error())
+	case errors.Is(err, memory.ErrExhausted):
+		detail := fmt.Sprintf("%s; length %d, account and address hold %d bytes of %d; from %s",
+			err, r.req.ContentLength, r.gateway.budget.HeldBy(owner), r.gateway.budget.Usage().Held, r.address())
+		return lovageshift.NotRun(lovageshift.ReasonMemoryExhausted, detail).WithRetryAfter(memoryRetryAfter)
+	case errors.Is(err, memory.ErrTooSlow), errors.Is(err, memory.ErrEvicted):
+		return lovageshift.NotRun(lovageshift.ReasonBodyTooSlow, err.Error()+"; from "+r.address())
+	default:
+		return lovageshift.NotRun(lovageshift.ReasonBodyUnreadable, err.Error())
+	}
+}
+
+// owner returns on whose behalf the body is held: the account's or, without one, the address's.
+func (r *request) owner() memory.Owner {
+	if r.account != nil {
+		return memory.Owner{Account: r.account.ID}
+	}
+	return memory.Owner{Address: r.address()}
+}
+
+// address returns the IP address of the caller.
+func (r *request) address() string {
+	host, _, err := net.SplitHostPort(r.req.RemoteAddr)
+	if err != nil {
+		return r.req.RemoteAddr
+	}
+	return host
+}
+
+// limitUnread limits how long the server waits for a body that was not read, before it closes the connection.
+func (r *request) limitUnread() {
+	if r.gateway.budget != nil && r.held == nil && r.req.ContentLength != 0 && r.w.Header().Get("Connection") != "close" {
+		_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(unreadLimit))
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"lovageshift/catalog"
 	"lovageshift/discovery"
 	"lovageshift/eventlog"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/quota"
@@ -64,6 +65,7 @@
 	scheduler    *placement.Scheduler
 	reservations *reservation.Client
 	meter        *quota.Meter
+	budget       *memory.Budget // nil for no limit
 	retryBudget  *retry.WindowBudget
 	refused      *refusedRequests
 	suspects     *suspects
@@ -106,6 +108,8 @@
 	Retry     retry.Bounds
 	Placement placement.ColdBounds
 	Quota     quota.Tolerance
+	// Budget limits the memory of callers' bodies, nil for no limit.
+	Budget *memory.Budget
 	// FirstStart is set if the whole installation starts for the first time.
 	FirstStart bool
 }
@@ -122,6 +126,7 @@
 		pool:        upstream.NewPool(options.Clock, options.Metrics),
 		scheduler:   placement.NewScheduler(options.Placement),
 		meter:       quota.NewMeter(options.Quota),
+		budget:      options.Budget,
 		retryBudget: retry.NewWindowBudget(options.Retry),
 		refused:     newRefusedRequests(),
 		suspects:    newSuspects(options.Log),
@@ -236,6 +241,9 @@
 		"lovageshift_entries_known":     func() float64 { return float64(g.knownEntries.Load()) },
 		"lovageshift_entries_heard":     func() float64 { return float64(g.liveEntries.Load()) },
 		"lovageshift_log_lines_dropped": func() float64 { return float64(g.log.Dropped()) },
+		"lovageshift_body_bytes":        func() float64 { return float64(g.budget.Usage().Held) },
+		"lovageshift_bodies_reading":    func() float64 { return float64(g.budget.Usage().Bodies) },
+		"lovageshift_bodies_evicted":    func() float64 { return float64(g.budget.Usage().Evicted) },
 	}
 	for name, read := range gauges {
 		if err := g.metrics.RegisterGauge(name, read); err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +9,7 @@
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/delivery"
+	"lovageshift/memory"
 	"lovageshift/placement"
 	"lovageshift/platform"
 	"lovageshift/quarantine"
@@ -72,6 +71,8 @@
 	// tokensPerEvent is the number of tokens in one event of a stream, 1 if the service's configuration does not give it.
 	tokensPerEvent int
 	body           []byte
+	// held is the memory that is reserved for the body, nil if the request has none.
+	held *memory.Reservation
 	// job is the request in the form in which it is submitted to the scheduler, nil until the request waits for a slot.
 	job *placement.Job
 
@@ -101,6 +102,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { r.held.Release() }()
 	headers, found := platform.ParseRequestHeader(req.Header)
 	r.headers = headers
 	if !found {
@@ -235,24 +237,6 @@
 	return nil
 }
 
-// readBody reads the whole body, up to the configured limit.
-func (r *request) readBody() *lovageshift.Refusal {
-	limit := r.gateway.tracker.View().Catalog.Limits.BodyBytes
-	if limit <= 0 {
-		limit = lovageshift.DefaultLimits().BodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.req.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return lovageshift.NotRun(lovageshift.ReasonBodyTooLarge, "body above the limit")
-	case err != nil:
-		return lovageshift.NotRun(lovageshift.ReasonBodyUnreadable, err.Error())
-	}
-	r.body = body
-	return nil
-}
-
 // charge charges the account and sets how long the request must wait for the account's tokens, or refuses it.
 func (r *request) charge() *lovageshift.Refusal {
 	if r.account == nil {
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -24,6 +24,7 @@
 	"lovageshift/exchange"
 	"lovageshift/framing"
 	"lovageshift/gateway"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/platform"
@@ -76,6 +77,8 @@
 	tracker  *discovery.Tracker
 	gateway  *gateway.Gateway
 	node     *exchange.Node
+	limits   memory.Limits
+	budget   *memory.Budget // nil for no limit
 }
 
 // newGatewayProcess assembles the parts and opens the port for messages between entries.
@@ -91,6 +94,8 @@
 		ApplyWithin: settings.Bounds.ApplyWithin,
 	})
 	bounds := settings.Bounds
+	limits := memory.LimitsOf(settings.Memory, settings.FileDescriptors)
+	budget := limits.Apply()
 	g := gateway.New(gateway.Options{
 		Zone: settings.Zone, Clock: clock, Log: log, Metrics: m, Tracker: tracker, Revocation: bounds.Revocation,
 		Retry:     retry.Bounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow},
@@ -98,6 +103,7 @@
 		Quota:     quota.Tolerance{Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack},
 
 		FirstStart: settings.FirstStart,
+		Budget:     budget,
 	})
 	self, err := netip.ParseAddr(settings.Host)
 	if err != nil {
@@ -120,6 +126,7 @@
 	return &gatewayProcess{
 		settings: settings, clock: clock, log: log, metrics: m,
 		watcher: watcher, tracker: tracker, gateway: g, node: node,
+		limits: limits, budget: budget,
 	}, nil
 }
 
@@ -138,7 +145,8 @@
 		return trace.Wrap(err, "listen for operators")
 	}
 	p.log.Info("start", "version", lovageshift.Version, "callers", p.settings.CallerAddress, "zone", p.settings.Zone,
-		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart)
+		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart,
+		"bodyBytes", p.limits.Bodies, "runtimeBytes", p.limits.Runtime, "connections", p.limits.Connections)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, background := errgroup.WithContext(background)
@@ -153,13 +161,17 @@
 	tasks.Go(func() error { return serve(operatorServer, operatorListener) })
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
+	framedListener := &framing.Listener{Listener: callerListener, HeaderLimit: p.gateway.HeaderLimit}
+	limitedListener := memory.NewListener(framedListener, p.limits.Connections, p.clock, p.callersFull)
+	if err := limitedListener.RegisterGauges(p.metrics); err != nil {
+		return err
+	}
 	callerServer := &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext,
+		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: limitedListener.ConnState,
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
-	framedListener := &framing.Listener{Listener: callerListener, HeaderLimit: p.gateway.HeaderLimit}
-	tasks.Go(func() error { return serve(callerServer, framedListener) })
+	tasks.Go(func() error { return serve(callerServer, limitedListener) })
 	tasks.Go(func() error {
 		defer stop()
 		defer func() { _ = operatorServer.Close() }()
@@ -175,6 +187,12 @@
 	return tasks.Wait()
 }
 
+// callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
+func (p *gatewayProcess) callersFull() {
+	p.log.Info("callersFull", "connections", p.limits.Connections, "bodiesReading", p.budget.Usage().Bodies)
+	p.budget.EvictStalled(p.clock.Now())
+}
+
 // internalAddress returns the IP:port on the VM of the host whose port is the one for messages between entries plus the
 // offset.
 func internalAddress(host string, peerPort, offset uint16) string {
--- a/refusal.go
+++ b/refusal.go
@@ -29,6 +29,8 @@
 	ReasonBodyTooLarge          Reason = "bodyTooLarge"
 	ReasonBodyUnreadable        Reason = "bodyUnreadable"
 	ReasonBodyInvalid           Reason = "bodyInvalid"
+	ReasonBodyTooSlow           Reason = "bodyTooSlow"     // the body made too little progress, or stalled while others needed its memory
+	ReasonMemoryExhausted       Reason = "memoryExhausted" // the memory for callers' bodies is in use
 	ReasonPromptTooLong         Reason = "promptTooLong"
 	ReasonHeaderForbidden       Reason = "headerForbidden"
 	ReasonRateExceeded          Reason = "rateExceeded"
@@ -81,6 +83,8 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonBodyUnreadable, ReasonBodyInvalid, ReasonHeaderForbidden, ReasonIdempotencyKeyMissing, ReasonIdempotencyKeyInvalid:
 		return http.StatusBadRequest
+	case ReasonBodyTooSlow:
+		return http.StatusRequestTimeout
 	case ReasonIdempotencyMismatch, ReasonIdempotencyInProgress, ReasonIdempotencyUnproven, ReasonDuplicate:
 		return http.StatusConflict
 	case ReasonRateExceeded:
