--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -42,13 +42,16 @@
 	answerLimit      = 60 * time.Second // for the ordinary request, which a caller repeats after a refusal
 )
 
-// crowdCaller writes what one connection of a crowd sends. Complete is set for every tenth one, which holds nothing back.
-type crowdCaller func(c net.Conn, complete bool)
+// crowdCaller writes what one connection of a crowd sends. Identity is the header fields that name the caller. Complete is set for
+// every tenth one, which holds nothing back.
+type crowdCaller func(c net.Conn, identity string, complete bool)
+
+const gatewayIdentity = standin.HeaderRequestID + ": crowd\r\nAuthorization: Token key\r\n"
 
 var crowdFiller = strings.Repeat("x", 64<<10)
 
-func crowdHeader(framing string) string {
-	return "POST /read/crowd HTTP/1.1\r\nHost: h\r\n" + standin.HeaderRequestID + ": crowd\r\nAuthorization: Token key\r\n" + framing + "\r\n\r\n"
+func crowdHeader(identity, framing string) string {
+	return "POST /read/crowd HTTP/1.1\r\nHost: h\r\n" + identity + framing + "\r\n\r\n"
 }
 
 // sendBytes writes the number of body bytes in pieces, each with the prefix and the suffix.
@@ -68,8 +71,8 @@
 
 // declared sends a body of the declared length in pieces, of which most callers hold back the end.
 func declared(length, sent, piece int) crowdCaller {
-	return func(c net.Conn, complete bool) {
-		_, _ = c.Write([]byte(crowdHeader("Content-Length: " + strconv.Itoa(length))))
+	return func(c net.Conn, identity string, complete bool) {
+		_, _ = c.Write([]byte(crowdHeader(identity, "Content-Length: " + strconv.Itoa(length))))
 		if complete {
 			sent += heldBackBytes
 		}
@@ -79,8 +82,8 @@
 
 // chunked sends a body in chunks, of which most callers hold back the last, empty one.
 func chunked(sent, chunk int) crowdCaller {
-	return func(c net.Conn, complete bool) {
-		_, _ = c.Write([]byte(crowdHeader("Transfer-Encoding: chunked")))
+	return func(c net.Conn, identity string, complete bool) {
+		_, _ = c.Write([]byte(crowdHeader(identity, "Transfer-Encoding: chunked")))
 		sendBytes(c, sent, chunk, strconv.FormatInt(int64(chunk), 16)+"\r\n", "\r\n")
 		if complete {
 			_, _ = c.Write([]byte("0\r\n\r\n"))
@@ -90,8 +93,8 @@
 
 // endlessChunk sends the part of a chunk that is far over the limit.
 func endlessChunk(sent int) crowdCaller {
-	return func(c net.Conn, _ bool) {
-		_, _ = c.Write([]byte(crowdHeader("Transfer-Encoding: chunked") + strconv.FormatInt(overBodyBytes, 16) + "\r\n"))
+	return func(c net.Conn, identity string, _ bool) {
+		_, _ = c.Write([]byte(crowdHeader(identity, "Transfer-Encoding: chunked") + strconv.FormatInt(overBodyBytes, 16) + "\r\n"))
 		sendBytes(c, sent, len(crowdFiller), "", "")
 	}
 }
@@ -107,12 +110,12 @@
 	{"smallChunks", smallChunksSize, chunked(crowdBodyLimit, 1)},
 	{"declaredOver", crowdSize, declared(overBodyBytes, crowdBodyLimit-heldBackBytes, len(crowdFiller))},
 	{"sentOver", crowdSize, endlessChunk(crowdBodyLimit - heldBackBytes)},
-	{"withoutRequest", idleCrowdSize, func(net.Conn, bool) {}},
-	{"withinHeader", idleCrowdSize, func(c net.Conn, _ bool) { _, _ = c.Write([]byte(crowdHeader("A: b")[:20])) }},
+	{"withoutRequest", idleCrowdSize, func(net.Conn, string, bool) {}},
+	{"withinHeader", idleCrowdSize, func(c net.Conn, identity string, _ bool) { _, _ = c.Write([]byte(crowdHeader(identity, "A: b")[:20])) }},
 }
 
 // sendCrowd opens the connections and returns them once each has sent its part or was refused.
-func sendCrowd(address string, size int, caller crowdCaller) []net.Conn {
+func sendCrowd(address, identity string, size int, caller crowdCaller) []net.Conn {
 	connections := make([]net.Conn, size)
 	var senders errgroup.Group
 	for i := range connections {
@@ -123,7 +126,7 @@
 			}
 			connections[i] = c
 			_ = c.SetWriteDeadline(time.Now().Add(crowdWriteLimit))
-			caller(c, i%10 == 0)
+			caller(c, identity, i%10 == 0)
 			return nil
 		})
 	}
@@ -265,7 +268,7 @@
 				waitForStatus("http://"+vm.ReadinessAddress()+"/-/ready", http.StatusOK)
 				So(answered(vm, "small"), ShouldBeTrue)
 
-				connections := sendCrowd(vm.CallerAddress(), crowd.size, crowd.caller)
+				connections := sendCrowd(vm.CallerAddress(), gatewayIdentity, crowd.size, crowd.caller)
 				defer closeAll(connections)
 				entry.settle()
 				So(answered(vm, "small"), ShouldBeTrue)
