Limit the memory and the connections of callers of lovageshift serve

Cause: the entry with agents read bodies without a budget, and waited with new connections until another closed, also while most were idle. The listener of package memory takes the place of netutil's, so a full entry closes idle connections for new ones; golang.org/x/net is no longer needed. A refused body is logged with its account and address, at most once a second.

--- a/entry/body.go
+++ b/entry/body.go
@@ -6,10 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"strconv"
-	"time"
 	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,25 +30,6 @@
 	Prefixes    []routing.Prefix   // hashes of the start of messages or prompt (hashPrefixes)
 }
 
-// readBody reads a request's body. It refuses the request if the body is longer than limits.BodyBytes, is cut short, or has not
-// arrived completely within limits.CallerIdleMillis.
-func readBody(w http.ResponseWriter, r *http.Request, limits *lovageshift.Limits) ([]byte, *lovageshift.Refusal) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(limits.CallerIdleMillis.Duration()))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, lovageshift.NotRun(lovageshift.ReasonBodyTooLarge, fmt.Sprintf("the body exceeds %d bytes", limits.BodyBytes))
-	case err != nil:
-		// The read deadline stays set, so that the server does not wait for the rest of the body.
-		w.Header().Set("Connection", "close")
-		return nil, lovageshift.NotRun(lovageshift.ReasonBodyUnreadable, "the body was cut short or came too slowly")
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // ParseCompletion parses the body of a completion request, which must be a JSON object with at most maxDepth levels of nested
 // objects and arrays. The text of the error is sent to the caller.
 func ParseCompletion(body []byte, maxDepth int) (*CompletionRequest, error) {
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -18,7 +18,8 @@
 		e.refuse(w, refusal)
 		return
 	}
-	body, refusal := readBody(w, r, &config.Limits)
+	body, held, refusal := e.readBody(w, r, &config.Limits, c)
+	defer held.Release()
 	if refusal != nil {
 		e.refuse(w, refusal)
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -18,6 +17,7 @@
 	"lovageshift/grant"
 	"lovageshift/link"
 	"lovageshift/membership"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/peer"
 	"lovageshift/retry"
@@ -44,6 +44,8 @@
 	Policy routing.Policy
 	// MaxConnections limits how many connections callers may have open at once; 0 means no limit.
 	MaxConnections int
+	// Budget limits the memory of callers' bodies, nil for no limit.
+	Budget *memory.Budget
 	// DrainDelay is how long a draining entry still accepts new requests. In this time the load balancer should notice from
 	// the failing readiness check that it must send no more.
 	DrainDelay time.Duration
@@ -55,6 +57,8 @@
 	node     *peer.Node
 	sequence atomic.Uint64 // number of the last dispatch of this incarnation, sent as wire.Start.Sequence
 	draining atomic.Bool
+	// bodyLoggedAt is when the refusal of a body was last logged.
+	bodyLoggedAt atomic.Int64
 
 	mutex       sync.Mutex // guards the fields below, down to leaving
 	loads       *routing.LoadTable
@@ -122,15 +126,17 @@
 	// The background tasks run on while the entry drains, since requests in progress need them.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	limited := memory.NewListener(listener, e.options.MaxConnections, e.options.Clock, e.callersFull)
+	if err := limited.RegisterGauges(e.options.Metrics); err != nil {
+		return err
+	}
 	server := &http.Server{
 		Handler:           e.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       delivery.ConnContext,
-	}
-	if e.options.MaxConnections > 0 {
-		listener = netutil.LimitListener(listener, e.options.MaxConnections)
+		ConnState:         limited.ConnState,
 	}
 	var tasks errgroup.Group
 	tasks.Go(func() error { return e.node.Run(background) })
@@ -144,7 +150,7 @@
 		return nil
 	})
 	tasks.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
+		if err := server.Serve(limited); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
@@ -152,6 +158,9 @@
 	return tasks.Wait()
 }
 
+// callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
+func (e *Entry) callersFull() { e.options.Budget.EvictStalled(e.options.Clock.Now()) }
+
 // drain makes the readiness check fail, keeps serving for DrainDelay while the load balancer notices, then accepts no more
 // connections and waits for all responses in progress.
 func (e *Entry) drain(server *http.Server) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -8,6 +8,7 @@
 
 	"lovageshift"
 	"lovageshift/idempotency"
+	"lovageshift/memory"
 )
 
 // serveRoute handles a call, that is, a request to a plain service: it finds the route by the path, checks the call, has it run
@@ -23,7 +24,8 @@
 		e.refuse(w, lovageshift.NotRun(lovageshift.ReasonNotFound, "nothing is served here"))
 		return
 	}
-	p, refusal := e.prepareRouteCall(config, route, w, r)
+	p, held, refusal := e.prepareRouteCall(config, route, w, r)
+	defer held.Release()
 	if refusal != nil {
 		e.refuse(w, refusal)
 		return
@@ -38,37 +40,38 @@
 	e.finish(out, e.perform(ctx, p, out))
 }
 
-// prepareRouteCall checks a call on the route, reads its body and returns it ready for dispatch.
-func (e *Entry) prepareRouteCall(config *lovageshift.Config, route *lovageshift.Route, w http.ResponseWriter, r *http.Request) (*pendingRequest, *lovageshift.Refusal) {
+// prepareRouteCall checks a call on the route, reads its body and returns it ready for dispatch, with the
+// reservation of the body's memory, which may be nil.
+func (e *Entry) prepareRouteCall(config *lovageshift.Config, route *lovageshift.Route, w http.ResponseWriter, r *http.Request) (*pendingRequest, *memory.Reservation, *lovageshift.Refusal) {
 	if !route.Allows(r.Method) {
-		return nil, lovageshift.NotRun(lovageshift.ReasonMethodNotAllowed, "the route does not take "+r.Method)
+		return nil, nil, lovageshift.NotRun(lovageshift.ReasonMethodNotAllowed, "the route does not take "+r.Method)
 	}
 	if refusal := checkReservedHeaders(r); refusal != nil {
-		return nil, refusal
+		return nil, nil, refusal
 	}
 	c := &caller{}
 	if !route.Open {
 		authenticated, refusal := e.authenticate(config, r)
 		if refusal != nil {
-			return nil, refusal
+			return nil, nil, refusal
 		}
 		c = authenticated
 		if !c.account.MayUseRoute(route.ID) {
-			return nil, lovageshift.NotRun(lovageshift.ReasonRouteForbidden, "the client account may not use this route")
+			return nil, nil, lovageshift.NotRun(lovageshift.ReasonRouteForbidden, "the client account may not use this route")
 		}
 	}
 	idempotencyKey, refusal := idempotencyKeyOf(route, r)
 	if refusal != nil {
-		return nil, refusal
+		return nil, nil, refusal
 	}
-	body, refusal := readBody(w, r, &config.Limits)
+	body, held, refusal := e.readBody(w, r, &config.Limits, c)
 	if refusal != nil {
-		return nil, refusal
+		return nil, nil, refusal
 	}
 	if containsSecret(r, body, c.secret) {
-		return nil, lovageshift.NotRun(lovageshift.ReasonBodyInvalid, "the path or the body holds the caller's key")
+		return nil, held, lovageshift.NotRun(lovageshift.ReasonBodyInvalid, "the path or the body holds the caller's key")
 	}
-	return e.newRouteCall(config, route, c, r, body, idempotencyKey), nil
+	return e.newRouteCall(config, route, c, r, body, idempotencyKey), held, nil
 }
 
 // idempotencyKeyOf returns the call's idempotency key, or "" if it has none. It refuses a call without a key if the route is not
--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -72,7 +72,7 @@
 // declared sends a body of the declared length in pieces, of which most callers hold back the end.
 func declared(length, sent, piece int) crowdCaller {
 	return func(c net.Conn, identity string, complete bool) {
-		_, _ = c.Write([]byte(crowdHeader(identity, "Content-Length: " + strconv.Itoa(length))))
+		_, _ = c.Write([]byte(crowdHeader(identity, "Content-Length: "+strconv.Itoa(length))))
 		if complete {
 			sent += heldBackBytes
 		}
--- a/process/process.go
+++ b/process/process.go
@@ -18,6 +18,7 @@
 	"lovageshift/folder"
 	"lovageshift/folderservice"
 	"lovageshift/link"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/peer"
 	"lovageshift/settings"
@@ -37,10 +38,14 @@
 	if err != nil {
 		return err
 	}
+	limits := memory.LimitsOf(memory.Bytes(s.MemoryMegabytes)*memory.Megabyte, s.FileDescriptors)
+	if limits.Connections > 0 {
+		s.MaxConnections = min(s.MaxConnections, limits.Connections)
+	}
 	e := entry.New(entry.Options{
 		ID: s.ID, Clock: lovageshift.NewClock(), Network: network, Source: newSource(s.Source),
 		Metrics: m, Random: newRandom(), Seeds: s.Source.Peers,
-		MaxConnections: s.MaxConnections, DrainDelay: s.DrainDelayMillis.Duration(),
+		MaxConnections: s.MaxConnections, DrainDelay: s.DrainDelayMillis.Duration(), Budget: limits.Apply(),
 	})
 	if err := e.RegisterGauges(); err != nil {
 		return err
@@ -49,7 +54,8 @@
 	if err != nil {
 		return trace.Wrap(err, "listen for callers")
 	}
-	klog.Infof("entry %s: serving callers on %s, operators on %s", s.ID, s.Listen, s.Operators)
+	klog.Infof("entry %s: serving callers on %s, operators on %s; at most %d connections, %d bytes of bodies (0: any)",
+		s.ID, s.Listen, s.Operators, s.MaxConnections, limits.Bodies)
 	return runWithOperatorServer(ctx, s.Operators, e.OperatorHandler(), func() error { return e.Run(ctx, listener) })
 }
 
