--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -141,6 +141,23 @@
 	}
 }
 
+// Guards against shares of a VM's memory by which a body of the largest permitted size finds no room in an idle entry.
+func TestLargestBodyFitsTheSmallestVM(t *testing.T) {
+	limits := memory.LimitsOf(184*memory.Megabyte, 4100)
+	b := memory.NewBudget(limits.Bodies)
+	for _, account := range []lovageshift.AccountID{"first", "second", "third"} {
+		if _, err := b.Reserve(1, memory.Owner{Account: account}, 4*memory.Megabyte, func() {}); err != nil {
+			t.Fatal(account, err)
+		}
+	}
+	if limits.Connections < 1000 || limits.Connections > 4100-200 {
+		t.Fatal(limits.Connections)
+	}
+	if none := memory.LimitsOf(0, 0); none != (memory.Limits{}) {
+		t.Fatal(none)
+	}
+}
+
 func BenchmarkReservation(b *testing.B) {
 	budget := memory.NewBudget(1 << 30)
 	owner := memory.Owner{Account: "account"}
