--- a/soak/fault.go
+++ b/soak/fault.go
@@ -107,6 +107,8 @@
 		r.testbed.store.Delete(oddRecordKey)
 	case TargetsReleased:
 		r.releaseTargets(ctx, fault, e, wait)
+	case BodiesStall:
+		stallBodies(e.vm.CallerAddress(), wait)
 	default:
 		r.injectTargetFault(ctx, fault, host, wait)
 	}
@@ -192,7 +194,8 @@
 func (r *run) affectedEntry(fault Fault) int {
 	switch fault.Kind {
 	case EntryKilled, EntryStopped, EntryPaused, EntryReloaded, StoreLinkRefused, StoreLinkHeld, StoreLinkOneWay,
-		StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow, TargetsReleased:
+		StoreLinkSlow, StoreLinkSilent, CallersReset, CallersSlow, TargetsReleased,
+		BodiesStall:
 		return fault.Subject % len(r.entries)
 	case AllKilled, StoreFails, StoreSilent, StoreForgets, StoreRestored:
 		return AllEntries
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -91,6 +91,10 @@
 	// TargetsReleased makes half of the targets of each service say that they leave, lose their connections and exit; the
 	// next ones have the other version. Meanwhile an entry is paused or cut off from the store, as the variant selects.
 	TargetsReleased Kind = "targetsReleased"
+
+	// BodiesStall opens more connections to an entry than it may have, each with a request that holds back the end of its body,
+	// for the length of the fault.
+	BodiesStall Kind = "bodiesStall"
 )
 
 var allKinds = []Kind{
@@ -110,6 +114,9 @@
 // endKinds are those of Options.Ends.
 var endKinds = []Kind{EntryKilled, EntryStopped, AllKilled, TargetKilled, TargetMisbehaves, CallersReset, EntryStopped}
 
+// stallKinds are those of Options.Stalls.
+var stallKinds = []Kind{BodiesStall}
+
 // awayKinds stop or restart entries. targetLinkKinds hold back or end what passes between entries and targets.
 var (
 	awayKinds       = []Kind{EntryKilled, EntryStopped, EntryPaused, AllKilled}
@@ -155,10 +162,11 @@
 	return sorted(faults)
 }
 
-// plan returns the faults of the run: those of NewPlan and, with Notices or Ends, those of two draws of the noticeKinds or
-// endKinds.
+// plan returns the faults of the run: those of NewPlan and, with Notices, Ends or Stalls, those of two draws of the noticeKinds,
+// endKinds or stallKinds.
 func (o Options) plan() []Fault {
 	faults := NewPlan(o.Seed, o.FaultWindow)
+	stalls := rand.New(rand.NewPCG(o.Seed, o.Seed+1))
 	notices, ends := rand.New(rand.NewPCG(^o.Seed, o.Seed)), rand.New(rand.NewPCG(^o.Seed, ^o.Seed))
 	for range 2 {
 		if o.Notices {
@@ -167,6 +175,9 @@
 		if o.Ends {
 			faults = append(faults, drawEach(endKinds, ends, o.FaultWindow)...)
 		}
+		if o.Stalls {
+			faults = append(faults, drawEach(stallKinds, stalls, o.FaultWindow)...)
+		}
 	}
 	return sorted(faults)
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -37,6 +37,8 @@
 	// take longer, and the grace period of entries is so short that it ends within some of them. It adds faults that end
 	// processes and connections.
 	Ends bool
+	// Stalls gives entries limits for memory and descriptors, and adds callers that hold back the ends of their bodies.
+	Stalls bool
 	// TrafficAfterRecovery is for how many milliseconds callers continue after the recovery time that follows the last
 	// fault.
 	TrafficAfterRecovery lovageshift.Millis
@@ -150,6 +152,9 @@
 			Name: fmt.Sprintf("entry-%d", number), Zone: zones[number%len(zones)], Seeds: seeds, FirstPort: entryPort,
 			Host: fmt.Sprintf("%s.4.%d", network, number+1), Store: e.storeProxy.Address(), Bounds: boundSettings(r.options.grace()),
 		}
+		if r.options.Stalls {
+			e.vm.MemoryMegabytes, e.vm.FileDescriptors = stallsMemoryMB, stallsDescriptors
+		}
 		if e.callerProxy, err = NewProxy(fmt.Sprintf("%s.6.%d:8221", network, number+1), e.vm.CallerAddress()); err != nil {
 			return err
 		}
