Move the count of tokens served to each account to package fairshare

Cause: the queue of a group of targets needs the order by account that an agent's queue has, and both must use one implementation.

Change: package fairshare holds the counts, the floor and the set of active accounts. admission.Queue uses it with its present rules.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,18 +4,17 @@
 	"slices"
 
 	"lovageshift"
+	"lovageshift/fairshare"
 )
 
 const (
 	// No further request is admitted if the requests in prefill would then have more prompt tokens to compute than the
 	// target can in this many milliseconds, at its measured prefill speed.
 	prefillBudgetMillis = 300
-	// An output token counts as this many prompt tokens in Queue.served.
+	// An output token counts as this many prompt tokens in Queue.shares.
 	outputWeight = 4
 	// Weight of a new sample in the moving average of the service time.
 	serviceTimeWeight = 0.1
-	// If Queue.served has more than this number of accounts, those not above Queue.servedFloor are dropped from it.
-	maxServedAccounts = 4096
 )
 
 // Request is a request at a target: it waits from Enqueue on, then it runs from its admission until Finish, unless it
@@ -61,13 +60,10 @@
 	running          map[*Request]bool
 	computeInPrefill lovageshift.Tokens // sum of the ComputeTokens of requests in prefill
 	promptInPrefill  lovageshift.Tokens // sum of the PromptTokens of requests in prefill, cached or not
-	// served is how many tokens each account counts as having been served: the prompt tokens of its admitted requests plus
-	// outputWeight times the output tokens of its finished ones, raised to servedFloor when an idle account enqueues a
-	// request.
-	served map[lovageshift.AccountID]float64
-	// servedFloor is the least served of the active accounts, those with a request in the queue or running, when an idle
-	// account last enqueued a request while others were active.
-	servedFloor     float64
+	// shares counts the tokens served to each account: the prompt tokens of its admitted requests plus outputWeight times the
+	// output tokens of its finished ones. An account is active while it has a request that waits or runs. The floor is the
+	// least count of the active accounts when an idle account last enqueued a request while others were active.
+	shares          *fairshare.Tally[lovageshift.AccountID]
 	meanServiceTime float64 // moving average in milliseconds from admission to the end of a complete answer
 	passThrough     bool    // whether every request is admitted at once
 }
@@ -88,7 +84,7 @@
 		limiter:    limiter,
 		maxWaiting: maxWaiting,
 		running:    map[*Request]bool{},
-		served:     map[lovageshift.AccountID]float64{},
+		shares:     fairshare.NewTally[lovageshift.AccountID](),
 	}
 }
 
@@ -113,7 +109,7 @@
 		if victim == nil {
 			return nil, q.shedRefusal(request)
 		}
-		q.remove(victim)
+		q.leave(victim)
 		q.push(request)
 		return victim, nil
 	}
@@ -122,7 +118,10 @@
 }
 
 func (q *Queue) push(request *Request) {
-	q.raiseServed(request.Account)
+	if !q.shares.Active(request.Account) {
+		q.shares.RaiseFloorToActive()
+	}
+	q.shares.Enter(request.arrivedAt, request.Account)
 	request.waiting = true
 	q.waiting = append(q.waiting, request)
 }
@@ -186,7 +185,7 @@
 		}
 	}
 	for _, request := range unmeetable {
-		q.remove(request)
+		q.leave(request)
 	}
 	return unmeetable
 }
@@ -217,7 +216,7 @@
 	if q.passThrough || a.Rank != b.Rank {
 		return !q.passThrough && a.Rank < b.Rank
 	}
-	return q.served[a.Account] < q.served[b.Account]
+	return q.shares.Served(a.Account) < q.shares.Served(b.Account)
 }
 
 func (q *Queue) startable(now lovageshift.Millis, request *Request) bool {
@@ -264,7 +263,7 @@
 	request.promptTokensInPrefill = q.promptInPrefill
 	request.prefilling = true
 	q.running[request] = true
-	q.served[request.Account] += float64(request.PromptTokens)
+	q.shares.Add(request.Account, float64(request.PromptTokens))
 }
 
 // ObserveFirstToken records a running request's first token. If the token came so late that the target is taken to be cold,
@@ -316,7 +315,8 @@
 	request.running = false
 	q.endPrefill(request)
 	delete(q.running, request)
-	q.served[request.Account] += outputWeight * float64(result.OutputTokens)
+	q.shares.Add(request.Account, outputWeight*float64(result.OutputTokens))
+	q.shares.Leave(request.Account)
 	if result.Complete {
 		q.meanServiceTime = ewma(q.meanServiceTime, float64(now-request.admittedAt), serviceTimeWeight)
 		q.limiter.ObserveCompletion(request.epoch)
@@ -324,7 +324,7 @@
 			q.limiter.ObservePrefill(result.ComputedTokens, request.firstTokenAt-request.admittedAt)
 		}
 	}
-	q.trimServed()
+	q.shares.Trim()
 }
 
 // Withdraw removes a waiting request. It returns false, and has no effect, if the request isn't waiting.
@@ -332,10 +332,16 @@
 	if !request.waiting {
 		return false
 	}
-	q.remove(request)
+	q.leave(request)
 	return true
 }
 
+// leave removes a waiting request that will not run.
+func (q *Queue) leave(request *Request) {
+	q.remove(request)
+	q.shares.Leave(request.Account)
+}
+
 func (q *Queue) remove(request *Request) {
 	request.waiting = false
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *Request) bool { return other == request })
@@ -396,40 +402,3 @@
 // MeanServiceTime returns the moving average of the milliseconds from the admission of a request to the end of its answer,
 // over complete answers, or 0 if there has been none.
 func (q *Queue) MeanServiceTime() float64 { return q.meanServiceTime }
-
-// raiseServed is called before a request of the account is added. An account is active while it has a request that waits or
-// runs here, and idle otherwise. An idle account's served tokens are raised to the fewest of any active account, so that it
-// gains no precedence by having been idle. If no account is active, they are raised to the floor found last.
-func (q *Queue) raiseServed(account lovageshift.AccountID) {
-	active := map[lovageshift.AccountID]bool{}
-	for _, request := range q.waiting {
-		active[request.Account] = true
-	}
-	for request := range q.running {
-		active[request.Account] = true
-	}
-	if active[account] {
-		return
-	}
-	first := true
-	for other := range active {
-		if first || q.served[other] < q.servedFloor {
-			q.servedFloor = q.served[other]
-			first = false
-		}
-	}
-	q.served[account] = max(q.served[account], q.servedFloor)
-}
-
-// trimServed drops the accounts that are not above servedFloor from served if there are more than maxServedAccounts. An idle
-// account that is dropped is raised to the floor when it enqueues its next request.
-func (q *Queue) trimServed() {
-	if len(q.served) <= maxServedAccounts {
-		return
-	}
-	for account, served := range q.served {
-		if served <= q.servedFloor {
-			delete(q.served, account)
-		}
-	}
-}
