Share a group's slots among client accounts

Cause: a group's queue ordered requests by rank, refusal before and arrival, so that slots went to the account that sends and retries the most.

Change: within a rank, requests are ordered by what their accounts will have been served before them, divided by the accounts' weights (start-time fair queueing over package fairshare). Promoted requests and ranks go first as before. A request that was refused before goes after the others of its account. The queue's expected wait follows that order. The order is computed again only if more than one account waits in a rank and the queue has changed otherwise than by a grant to the first. Counts of accounts without a request for 10 s are dropped. Nothing sets accounts yet, so requests are served as before.

--- a/fairshare/tally.go
+++ b/fairshare/tally.go
@@ -18,6 +18,8 @@
 type Account struct {
 	served  float64
 	entered int
+	// ahead is the service of the requests for which PutAhead was called since ClearAhead.
+	ahead float64
 	// enteredAt is when Enter was last called.
 	enteredAt lovageshift.Millis
 }
@@ -30,6 +32,17 @@
 // Served returns the service that the account has got, divided by its weight.
 func (a *Account) Served() float64 { return a.served }
 
+// ClearAhead prepares an account for calls of PutAhead.
+func (a *Account) ClearAhead() { a.ahead = 0 }
+
+// PutAhead adds a waiting request, which takes the given service divided by the account's weight, behind those of the
+// account for which it was called since ClearAhead. It returns what the account will have been served before it.
+func (a *Account) PutAhead(service float64) float64 {
+	before := a.served + a.ahead
+	a.ahead += service
+	return before
+}
+
 // Served returns the service that the account counts as having got, divided by its weight.
 func (t *Tally[A]) Served(key A) float64 {
 	if account := t.accounts[key]; account != nil {
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -31,26 +31,27 @@
 	if len(q.waiters) == 0 {
 		return
 	}
+	q.arrange()
 	q.promoteResuming(now)
 	q.promote()
 	free := s.freeTargets(now, group)
 	ahead := 0
 	aheadByRank := map[lovageshift.Rank]int{}
-	q.removeIf(func(w *Waiter) bool {
+	q.removeIf(func(w *Waiter) (remove, granted bool) {
 		if chosen := s.choose(now, free, w, w.wellEnough); chosen != nil {
 			s.grant(now, q, w, chosen)
-			return true
+			return true, true
 		}
 		if judge(w) {
 			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
 			if w.waitIsOver(now, expected) || w.job.HasVersion && !s.hasTarget(group, w.job) {
 				s.giveUp(now, q, w, free, expected, ahead)
-				return true
+				return true, false
 			}
 		}
 		ahead++
 		aheadByRank[w.job.Rank]++
-		return false
+		return false, false
 	})
 }
 
--- a/placement/job.go
+++ b/placement/job.go
@@ -6,6 +6,8 @@
 
 	"lovageshift"
 	"lovageshift/catalog"
+	"lovageshift/fairshare"
+	"lovageshift/quota"
 )
 
 // GroupID names a group: some or all of a service's targets, whose slots normally one entry assigns, the group's
@@ -19,6 +21,11 @@
 	Zone lovageshift.ZoneID
 	// Rank orders the queue: the smallest number is the most urgent rank and is served first.
 	Rank lovageshift.Rank
+	// Account is the client account, 0 for none. The requests without an account share the slots as those of one account do.
+	Account quota.AccountHash
+	// Weight is the account's part in the slots, relative to that of an account with the mean rate; 0 if not known, which
+	// counts as 1.
+	Weight float64
 	// Arrived is when the request's entry had read the head of the HTTP request. For another entry's request it is
 	// computed from the wait that the entry reports.
 	Arrived lovageshift.Millis
@@ -97,6 +104,14 @@
 	// promoted reports whether the waiter goes before all that are not promoted, whatever their rank. queue.promote
 	// sets it and deducts the request's work from the credit of its rank (see queue.credit), or queue.promoteResuming does.
 	promoted bool
+	// share divides the slots of the waiter's rank, account is the count of its account there, and charge what a slot for it
+	// adds to that count.
+	share   *sharing
+	account *fairshare.Account
+	charge  float64
+	// servedBefore is what the account will have been served before this waiter, 0 if no other account waits in its rank. It
+	// is set by queue.arrange.
+	servedBefore float64
 	// role is what this entry was to the group at the submission. A coordinator or backup knows the requests at the group's
 	// targets, and so may assign those that are cold (see the package comment) or have a limit.
 	role Role
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -45,6 +45,7 @@
 type submission struct {
 	placement.Decision
 	waiter *placement.Waiter
+	job    *placement.Job
 }
 
 func submit(s *placement.Scheduler, now lovageshift.Millis, job *placement.Job) *submission {
@@ -55,7 +56,7 @@
 	if job.QueueDeadline == 0 {
 		job.QueueDeadline = now + 250
 	}
-	sub := &submission{}
+	sub := &submission{job: job}
 	sub.waiter = s.Submit(now, s.PickGroup(&placement.Job{Service: pool}, 0.5), placement.Coordinator, job, func(d placement.Decision) { sub.Decision = d })
 	return sub
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -26,11 +26,18 @@
 	promptPerOutput = 500
 )
 
-// queue holds a group's waiting requests in the order in which they get slots: promoted ones first (see promote), then
-// by rank, the smallest number first. Within a rank, those that were not refused before are first, as they can still meet
-// their objective; then the order of submission decides.
+// queue holds a group's waiting requests. They get slots in this order: promoted ones first (see promote), then by rank,
+// the smallest number first. Within a rank, the accounts that were served the least for their weight are first (see
+// sharing). Of one account, requests that were not refused before are first, as they can still meet their objective; then the
+// order of submission decides.
 type queue struct {
+	// waiters holds the requests in that order, but for the accounts (see compareWaiters).
 	waiters []*Waiter
+	// order holds the waiters in the whole order if arranged is set, see arrange.
+	order    []*Waiter
+	arranged bool
+	// shares divides the slots of each rank among the accounts.
+	shares map[lovageshift.Rank]*sharing
 	// resuming is the share of the requests that go on with streams.
 	resuming resumingShare
 	// grants counts the requests that got a slot, grantedWork sums up their work as estimated by workOf.
@@ -44,7 +51,10 @@
 }
 
 func newQueue() *queue {
-	return &queue{arrivals: map[lovageshift.Rank]*rateMeter{}, credit: map[lovageshift.Rank]float64{}}
+	return &queue{
+		shares:   map[lovageshift.Rank]*sharing{},
+		arrivals: map[lovageshift.Rank]*rateMeter{}, credit: map[lovageshift.Rank]float64{},
+	}
 }
 
 func (q *queue) push(now lovageshift.Millis, w *Waiter) {
@@ -54,10 +64,12 @@
 	}
 	q.arrivals[rank].add(now, 1)
 	q.resuming.recordArrival(now, w)
+	q.enterShares(now, w)
 	q.insert(w)
 }
 
 func (q *queue) insert(w *Waiter) {
+	q.arranged = false
 	at, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	q.waiters = slices.Insert(q.waiters, at, w)
 }
@@ -71,12 +83,13 @@
 	return 1 + float64(output) + float64(job.PromptTokens)/promptPerOutput
 }
 
-// recordGrant counts the slot given to a request. Unless the request was promoted, it credits each less urgent rank
+// recordGrant counts the slot given to a request, for its account too. Unless the request was promoted, it credits each less urgent rank
 // that has submitted requests so far with guaranteedShare of the request's work.
 func (q *queue) recordGrant(now lovageshift.Millis, w *Waiter) {
 	work := workOf(w.job)
 	q.grants.add(now, 1)
 	q.grantedWork.add(now, int(work))
+	w.chargeShare()
 	if !w.job.Resumes {
 		q.resuming.grants.add(now, 1)
 	} else if !w.promoted {
@@ -98,8 +111,8 @@
 func (q *queue) promote() {
 	for {
 		var chosen *Waiter
-		for i, w := range q.waiters {
-			first := i > 0 && q.waiters[i-1].job.Rank < w.job.Rank
+		for i, w := range q.order {
+			first := i > 0 && q.order[i-1].job.Rank < w.job.Rank
 			if first && !w.promoted && workOf(w.job) <= q.credit[w.job.Rank] {
 				chosen = w
 				break
@@ -119,6 +132,7 @@
 	q.remove(w)
 	w.promoted = true
 	q.insert(w)
+	q.arrange()
 }
 
 func compareWaiters(a, b *Waiter) int {
@@ -141,15 +155,27 @@
 }
 
 func (q *queue) remove(w *Waiter) {
+	q.arranged = false
 	if at := slices.Index(q.waiters, w); at >= 0 {
 		q.waiters = slices.Delete(q.waiters, at, at+1)
 	}
 }
 
-// removeIf calls visit for the waiters in order and removes those for which it returns true.
-func (q *queue) removeIf(visit func(*Waiter) bool) {
-	if len(q.waiters) > 0 {
-		q.waiters = slices.DeleteFunc(q.waiters, visit)
+// removeIf calls visit for the waiters in the order of arrange, which must have been called, and removes those for which it
+// returns true. The others stay arranged if these were the first, were not promoted and got slots.
+func (q *queue) removeIf(visit func(*Waiter) (remove, granted bool)) {
+	removed := 0
+	for i, w := range q.order {
+		remove, granted := visit(w)
+		if remove {
+			w.leaveShares()
+			q.arranged = q.arranged && granted && !w.promoted && i == removed
+			removed++
+		}
+	}
+	if removed > 0 {
+		isDone := func(w *Waiter) bool { return w.done }
+		q.waiters, q.order = slices.DeleteFunc(q.waiters, isDone), slices.DeleteFunc(q.order, isDone)
 	}
 }
 
--- a/placement/resuming.go
+++ b/placement/resuming.go
@@ -58,11 +58,11 @@
 func (q *queue) promoteResuming(now lovageshift.Millis) {
 	r := &q.resuming
 	for r.waiting > 0 && r.owed >= 1 && r.promotions.perSecond(now) <= maxResumingShare*q.grants.perSecond(now) {
-		at := slices.IndexFunc(q.waiters, func(w *Waiter) bool { return w.job.Resumes && !w.promoted })
+		at := slices.IndexFunc(q.order, func(w *Waiter) bool { return w.job.Resumes && !w.promoted })
 		if at < 0 {
 			return
 		}
 		r.promotions.add(now, 1)
-		q.putFirst(q.waiters[at])
+		q.putFirst(q.order[at])
 	}
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -217,6 +217,7 @@
 		s.sweep(now)
 		s.sweepLeaving(now)
 		s.sweepUnavailable(now)
+		s.evictAccounts(now)
 	}
 	s.assignAll(now, everyWaiter)
 }
@@ -308,4 +309,5 @@
 	q := s.queues[w.group]
 	q.resuming.recordRefusal(w)
 	q.remove(w)
+	w.leaveShares()
 }
