Pass accounts and weights to the scheduler, and count refusals by share

Change: the gateway sets the account's hash and weight in each job. The weight is the rate divided by the mean of the rates in the same unit, and 1 without a rate or an account. A refusal says whether the account was above its share; lovageshift_share_refusals counts that, and the log line of the refusal says it. Both hold for groups that the entry coordinates itself until the messages between entries carry them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -19,6 +19,7 @@
 	accounts      map[lovageshift.AccountID]*Account
 	routes        map[string][]*Route  // by host, longest prefix first
 	accountsByKey map[keyHash]*Account // by the hash of each of their keys
+	meanRates     map[bool]float64     // mean Rate of the accounts that have one, by Account.PerRequest
 }
 
 // keyHash is the SHA-256 of one of a client account's keys.
@@ -41,6 +42,7 @@
 		accounts:      map[lovageshift.AccountID]*Account{},
 		routes:        map[string][]*Route{},
 		accountsByKey: map[keyHash]*Account{},
+		meanRates:     meanRates(accounts),
 	}
 	for _, service := range services {
 		c.services[service.ID] = service
@@ -80,6 +82,29 @@
 	return c.accountsByKey[sha256.Sum256([]byte(key))]
 }
 
+func meanRates(accounts []*Account) map[bool]float64 {
+	sums, counts := map[bool]float64{}, map[bool]float64{}
+	for _, account := range accounts {
+		if account.Rate > 0 {
+			sums[account.PerRequest] += account.Rate
+			counts[account.PerRequest]++
+		}
+	}
+	for perRequest, count := range counts {
+		sums[perRequest] /= count
+	}
+	return sums
+}
+
+// WeightOf returns the account's weight in the sharing of targets: its rate divided by the mean rate of the accounts whose
+// rates have the same unit, tokens or requests. It is 1 for an account without a rate and for nil.
+func (c *Catalog) WeightOf(account *Account) float64 {
+	if account == nil || account.Rate <= 0 || c.meanRates[account.PerRequest] == 0 {
+		return 1
+	}
+	return account.Rate / c.meanRates[account.PerRequest]
+}
+
 // Routes returns a new slice of all routes, sorted by host and prefix.
 func (c *Catalog) Routes() []*Route {
 	var all []*Route
--- a/gateway/refused.go
+++ b/gateway/refused.go
@@ -6,6 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovageshift"
+	"lovageshift/metrics"
+	"lovageshift/placement"
 )
 
 const (
@@ -105,3 +107,17 @@
 	r.cachedFingerprint = lovageshift.Fingerprint(digest.Sum64())
 	return r.cachedFingerprint
 }
+
+// countShare counts a request that got no slot in time in the metrics, by the share of its account. It returns what the log
+// line of the refusal says of it.
+func (r *request) countShare(refusal *placement.Refusal) string {
+	if refusal.Reason != lovageshift.ReasonShed {
+		return ""
+	}
+	if refusal.AboveShare {
+		r.gateway.metrics.Add(metrics.SharedRefusals, "aboveShare", 1)
+		return ", the account is above its share"
+	}
+	r.gateway.metrics.Add(metrics.SharedRefusals, "withinShare", 1)
+	return ""
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -360,6 +360,7 @@
 		Service:      r.service,
 		Zone:         r.gateway.zone,
 		Rank:         r.rank(),
+		Weight:       r.gateway.tracker.View().Catalog.WeightOf(r.account),
 		Arrived:      r.arrived,
 		Objective:    objective,
 		PromptTokens: r.headers.PromptTokens,
@@ -372,6 +373,9 @@
 		HasVersion:     r.hasRelease,
 		Version:        r.release,
 	}
+	if r.account != nil {
+		job.Account = quota.HashOf(r.account.ID)
+	}
 	wasRefused := r.gateway.refused.take(r.gateway.clock.Now(), r.shortFingerprint())
 	job.RefusedBefore = wasRefused && !job.Resumes
 	job.LimitWait()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -106,6 +106,7 @@
 	}
 	r.summary.waited, r.summary.obstacles = refusal.Waited, refusal.Obstacles
 	detail := fmt.Sprintf("no place in time: %d ahead, expected wait %d ms", refusal.Ahead, refusal.ExpectedWait)
+	detail += r.countShare(refusal)
 	return nil, lovageshift.NotRun(refusal.Reason, detail).WithRetryAfter(refusal.RetryAfter)
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -26,6 +26,9 @@
 const (
 	// Refusals counts refusals by reason.
 	Refusals Name = "lovageshift_refusals"
+	// SharedRefusals counts requests that got no slot in time, by whether their account was aboveShare or withinShare of the
+	// slots of the group of targets that refused them.
+	SharedRefusals Name = "lovageshift_share_refusals"
 	// Retries counts retries by the reason of the refusal that ended the preceding attempt, even if nothing had been sent
 	// in that attempt. An agent that resumes an engine's broken stream counts a retry with the reason streamResumed.
 	Retries Name = "lovageshift_retries"
@@ -78,7 +81,7 @@
 var bucketBounds = []float64{0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 15}
 
 var counterNames = []Name{
-	Refusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
+	Refusals, SharedRefusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
 	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed,
 }
 
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -26,6 +26,8 @@
 	// waiting requests were before it there.
 	ExpectedWait lovageshift.Millis
 	Ahead        int
+	// AboveShare reports whether the job's account was above its share of the slots, while requests of other accounts waited.
+	AboveShare bool
 	// Obstacles says what kept the job from the targets that can run it, as far as the refusing entry knew them.
 	Obstacles Obstacles
 }
@@ -67,7 +69,7 @@
 	spread := lovageshift.Millis(rand.Int64N(int64(after)/2 + 1))
 	return &Refusal{
 		Reason: reason, RetryAfter: after - after/4 + spread, Waited: now - w.job.Arrived, ExpectedWait: expected, Ahead: ahead,
-		Obstacles: s.obstacles(now, w),
+		AboveShare: w.aboveShare(), Obstacles: s.obstacles(now, w),
 	}
 }
 
