Tell coordinators the account and the weight of a request

Cause: the coordinator of a group shares its slots by account, but knew none for requests of other entries.

Change: ReserveAsk has the account's hash and weight, ReserveReply whether the refused account was above its share. The simulation of sharing is shorter and has the same bounds.

--- a/placement/sharing_test.go
+++ b/placement/sharing_test.go
@@ -1,8 +1,8 @@
 package placement_test
 
 import (
-	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -13,19 +13,17 @@
 	"lovageshift/quota"
 )
 
-// client is an account of which interval is the mean time between two requests, and output their size. A backlogged client
-// has, from a time on, more requests waiting at the start of each step than there are slots; the others repeat each refused request after retryAfter, unless it is 0.
+// client is an account that sends a request of about output tokens in each interval, and may repeat refused ones at once.
+// Without an interval it has, from a time on, more requests waiting at each step than there are slots.
 type client struct {
-	weight             float64
-	interval           lovageshift.Millis
-	output             lovageshift.Tokens
-	backlogged         bool
-	from, retryAfter   lovageshift.Millis
-	refused, submitted int
-	served, atStart    float64 // work in tokens
-	waiting            []*submission
-	repeats            []lovageshift.Millis
-	next               lovageshift.Millis
+	weight         float64
+	output         lovageshift.Tokens
+	interval, from lovageshift.Millis
+	repeats        bool
+
+	sent, refused, repeated int
+	waiting                 []*submission
+	served, atStart         float64 // work, in tokens
 }
 
 const (
@@ -35,8 +33,8 @@
 )
 
 // playShares lets the clients send to one coordinator, whose targets take a millisecond for a token. It calls check after each
-// step with the number of the running requests.
-func playShares(clients []*client, check func(now lovageshift.Millis, running int)) {
+// step, and returns in how many steps a slot was free while a request waited.
+func playShares(clients []*client, check func(now lovageshift.Millis)) (unused int) {
 	random := rand.New(rand.NewPCG(7, 1))
 	s := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(4, shareSlots/4)...)
 	ends := map[lovageshift.Millis][]*submission{}
@@ -47,52 +45,55 @@
 			s.Release(now, sub.Slot, placement.Result{Outcome: placement.Served, FirstEvent: 20})
 		}
 		for i, c := range clients {
-			c.send(random, now, func(job placement.Job) {
-				job.Account, job.Weight = quota.AccountHash(i+1), c.weight
+			for range c.due(now) {
+				job := &placement.Job{Account: quota.AccountHash(i + 1), Weight: c.weight, Arrived: now, Objective: 1000}
 				job.ExpectedOutput = c.output*3/4 + lovageshift.Tokens(random.IntN(int(c.output/2)))
-				job.Arrived, job.Objective = now, 1000
+				job.RefusedBefore = c.repeats && c.repeated < c.refused
+				c.repeated += min(c.refused-c.repeated, 1)
 				job.LimitWait()
-				if c.backlogged {
+				if c.interval == 0 {
 					job.QueueDeadline = shareRuntime
 				}
-				c.waiting = append(c.waiting, submit(s, now, &job))
-			})
+				c.waiting = append(c.waiting, submit(s, now, job))
+			}
 		}
 		s.Tick(now)
+		waiting := 0
 		for _, c := range clients {
-			var waiting []*submission
-			for _, sub := range c.waiting {
-				switch {
-				case sub.Slot != nil:
+			c.waiting = slices.DeleteFunc(c.waiting, func(sub *submission) bool {
+				if sub.Slot != nil {
 					running++
 					c.served += float64(1 + sub.job.ExpectedOutput)
-					end := now + lovageshift.Millis(sub.job.ExpectedOutput)
-					ends[end-end%shareStep] = append(ends[end-end%shareStep], sub)
-				case sub.Refusal != nil:
+					end := (now + lovageshift.Millis(sub.job.ExpectedOutput)) / shareStep * shareStep
+					ends[end] = append(ends[end], sub)
+				} else if sub.Refusal != nil {
 					c.refused++
-					c.repeats = append(c.repeats, now+c.retryAfter)
-				default:
-					waiting = append(waiting, sub)
 				}
-			}
-			c.waiting = waiting
+				return sub.Slot != nil || sub.Refusal != nil
+			})
+			waiting += len(c.waiting)
 		}
-		check(now, running)
+		if waiting > 0 && running < shareSlots {
+			unused++
+		}
+		check(now)
 	}
+	return unused
 }
 
-func (c *client) send(random *rand.Rand, now lovageshift.Millis, submit func(placement.Job)) {
-	for c.backlogged && now >= c.from && len(c.waiting) <= shareSlots {
-		submit(placement.Job{})
+// due returns how many requests the client sends now.
+func (c *client) due(now lovageshift.Millis) int {
+	if c.interval == 0 && now >= c.from {
+		return max(shareSlots+1-len(c.waiting), 0)
 	}
-	for len(c.repeats) > 0 && c.repeats[0] < now && c.retryAfter > 0 {
-		c.repeats = c.repeats[1:]
-		submit(placement.Job{RefusedBefore: true})
+	count := 0
+	for ; c.interval > 0 && now >= lovageshift.Millis(c.sent)*c.interval; c.sent++ {
+		count++
 	}
-	for ; !c.backlogged && now >= c.next; c.next += c.interval/2 + lovageshift.Millis(random.IntN(int(c.interval))) {
-		c.submitted++
-		submit(placement.Job{})
+	if c.repeats {
+		count += c.refused - c.repeated
 	}
+	return count
 }
 
 // TestAccountsWithinTheirSharesAreServed guards against slots that go to the account that sends and retries the most. Of 20
@@ -100,24 +101,15 @@
 // account within its share waits for one of each other account, which takes 75 ms of the 500 that it may wait.
 func TestAccountsWithinTheirSharesAreServed(t *testing.T) {
 	Convey("An account that sends four times its share, and repeats at once, costs the others no request", t, func() {
-		large := &client{interval: 19, output: 300, retryAfter: shareStep}
-		clients := []*client{large}
+		clients := []*client{{interval: 19, output: 300, repeats: true}}
 		for range 4 {
 			clients = append(clients, &client{interval: 90, output: 300})
 		}
-		idle := 0
-		playShares(clients, func(_ lovageshift.Millis, running int) {
-			for _, c := range clients {
-				if len(c.waiting) > 0 && running < shareSlots {
-					idle++
-				}
-			}
-		})
-		So(idle, ShouldEqual, 0)
+		So(playShares(clients, func(lovageshift.Millis) {}), ShouldEqual, 0)
 		for _, small := range clients[1:] {
 			So(small.refused, ShouldEqual, 0)
 		}
-		So(large.served, ShouldBeGreaterThan, clients[1].served)
+		So(clients[0].served, ShouldBeGreaterThan, clients[1].served)
 	})
 }
 
@@ -131,20 +123,16 @@
 		"one was idle":             {{weight: 1, output: 200}, {weight: 2, output: 300}, {weight: 1, output: 250, from: 3_000}},
 	} {
 		Convey("Of accounts with waiting requests, each gets its share: "+name, t, func() {
-			worst := math.Inf(-1)
-			for _, c := range clients {
-				c.backlogged = true
-			}
-			playShares(clients, func(now lovageshift.Millis, _ int) {
+			worst := 0.0 // the most that one was ahead, as a share of the bound
+			playShares(clients, func(now lovageshift.Millis) {
 				for _, a := range clients {
 					for _, b := range clients {
 						if now <= max(a.from, b.from, shareStep) {
 							a.atStart, b.atStart = a.served, b.served
 							continue
 						}
-						most := float64(a.output)/a.weight*5/4 + float64(b.output)/b.weight*5/4
-						ahead := (a.served-a.atStart)/a.weight - (b.served-b.atStart)/b.weight
-						worst = max(worst, ahead/most)
+						bound := float64(a.output)/a.weight*5/4 + float64(b.output)/b.weight*5/4
+						worst = max(worst, ((a.served-a.atStart)/a.weight-(b.served-b.atStart)/b.weight)/bound)
 					}
 				}
 			})
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -11,6 +11,7 @@
 	"lovageshift"
 	"lovageshift/eventlog"
 	"lovageshift/placement"
+	"lovageshift/quota"
 	"lovageshift/wire"
 )
 
@@ -213,7 +214,7 @@
 		}
 		return placement.Decision{Refusal: &placement.Refusal{
 			Reason: reason, RetryAfter: lovageshift.Millis(reply.RetryAfterMillis), Waited: now - job.Arrived,
-			ExpectedWait: lovageshift.Millis(reply.ExpectedMillis), Ahead: int(reply.Ahead),
+			ExpectedWait: lovageshift.Millis(reply.ExpectedMillis), Ahead: int(reply.Ahead), AboveShare: reply.AboveShare,
 			Obstacles: c.scheduler.ExplainRefusal(now, group, job, obstaclesOf(reply.Obstacles)),
 		}}, nil
 	}
@@ -251,6 +252,7 @@
 		Returned: job.RefusedBefore, Zone: string(job.Zone),
 		ExpectedOutput: int64(job.ExpectedOutput), MaxGapMillis: int64(job.MaxGap),
 		HasVersion: job.HasVersion, Version: string(job.Version), Resumes: job.Resumes,
+		Account: uint32(job.Account), Weight: job.Weight,
 	}
 	if job.Deadline > 0 {
 		message.DeadlineMillis = max(int64(job.Deadline-now), 1)
@@ -311,6 +313,8 @@
 		ExpectedOutput: lovageshift.Tokens(request.ExpectedOutput),
 		MaxGap:         lovageshift.Millis(request.MaxGapMillis),
 		Resumes:        request.Resumes,
+		Account:        quota.AccountHash(request.Account),
+		Weight:         request.Weight,
 		HasVersion:     request.HasVersion,
 		Version:        lovageshift.SoftwareVersion(request.Version),
 	}
@@ -338,6 +342,7 @@
 		message.State = wire.ReserveState_RESERVE_STATE_REFUSED
 		message.RetryAfterMillis = int64(reply.Refusal.RetryAfter)
 		message.ExpectedMillis, message.Ahead = int64(reply.Refusal.ExpectedWait), int32(reply.Refusal.Ahead)
+		message.AboveShare = reply.Refusal.AboveShare
 		message.NoTarget = reply.Refusal.Reason == lovageshift.ReasonNoTarget
 		message.Obstacles = obstaclesMessage(reply.Refusal.Obstacles)
 	}
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -9,11 +9,13 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/membership"
 	"lovageshift/placement"
+	"lovageshift/quota"
 	"lovageshift/reservation"
 	"lovageshift/wire"
 )
@@ -168,6 +170,31 @@
 	})
 }
 
+// TestAccountsReachTheCoordinator guards against requests for slots that do not tell their account.
+func TestAccountsReachTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A request of another account does not wait for all earlier ones of one account", t, func() {
+			_, entries := newNetwork(2, 1, 1)
+			coordinator, other := coordinatorAndOther(entries)
+			holder := coordinator.reserve(0)
+			var served []quota.AccountHash
+			var group errgroup.Group
+			for _, account := range []quota.AccountHash{1, 1, 1, 2} {
+				group.Go(func() error {
+					decision := other.client.Reserve(t.Context(), &placement.Job{Service: pool, Account: account, QueueDeadline: 1 << 40})
+					served = append(served, account)
+					other.scheduler.Release(1, decision.Slot, placement.Result{})
+					return nil
+				})
+				time.Sleep(5 * time.Millisecond)
+			}
+			coordinator.scheduler.Release(1, holder.Slot, placement.Result{})
+			So(group.Wait(), ShouldBeNil)
+			So(served, ShouldResemble, []quota.AccountHash{1, 2, 1, 1})
+		})
+	})
+}
+
 func TestColdTargetsHaveTwoCoordinators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("If all entries get a reservation request for the group of a cold target, only the group's coordinator and its backup grant a slot", t, func() {
