--- a/placement/explain.go
+++ b/placement/explain.go
@@ -94,15 +94,19 @@
 	return e
 }
 
-// ahead returns how many of the waiting requests get slots before a new waiter, and how many of those have its rank.
+// ahead returns how many of the waiting requests would get slots before a new waiter, and how many of those have its rank.
 func (q *queue) ahead(w *Waiter) (all, ofSameRank int) {
-	for _, other := range q.waiters {
-		if compareWaiters(other, w) < 0 {
-			all++
-			if other.job.Rank == w.job.Rank {
-				ofSameRank++
-			}
+	q.peekShares(w)
+	order := slices.Clone(q.waiters)
+	at, _ := slices.BinarySearchFunc(order, w, compareWaiters)
+	order = slices.Insert(order, at, w)
+	arrangeRanks(order)
+	q.arranged = false // as the new waiter has moved others
+	for _, other := range order[:slices.Index(order, w)] {
+		if other.job.Rank == w.job.Rank {
+			ofSameRank++
 		}
+		all++
 	}
 	return all, ofSameRank
 }
--- a/placement/explain_test.go
+++ b/placement/explain_test.go
@@ -9,12 +9,13 @@
 	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/placement"
+	"lovageshift/quota"
 )
 
 // TestExplanationsTellDecisionsAndChangeNone guards against an explanation that differs from what the scheduler then decides, and
 // against one that changes later decisions.
 func TestExplanationsTellDecisionsAndChangeNone(t *testing.T) {
-	Convey("Each job is decided as explained just before, and as without explanations, in an overload of 40 requests of three ranks", t, func() {
+	Convey("Each job is decided as explained just before, and as without explanations, in an overload of 40 requests of three ranks and four accounts", t, func() {
 		service := &catalog.Service{ID: pool, Engine: true}
 		explained, plain := newScheduler(service, targets(5, 2)...), newScheduler(service, targets(5, 2)...)
 		draws := rand.New(rand.NewPCG(1, 2))
@@ -23,7 +24,8 @@
 			now := lovageshift.Millis(100 + 20*i)
 			job := placement.Job{
 				Service: pool, Arrived: now, Objective: 500, QueueDeadline: now + 250, Rank: lovageshift.Rank(draws.IntN(3)),
-				PromptTokens: lovageshift.Tokens(draws.IntN(6000)),
+				PromptTokens: lovageshift.Tokens(draws.IntN(6000)), Account: quota.AccountHash(draws.IntN(4)),
+				RefusedBefore: draws.IntN(4) == 0,
 			}
 			group := explained.GroupsOf(pool)[0]
 			var told placement.Explanation
