Doubt targets that may have restarted while no request was there

Cause: a target counted as one that may have restarted only after a request lost a connection to it. The pool discarded idle connections that the target had ended, and a target without a connection left no trace, so streams that began at a restarted target were bound to the version of its old record, and streams of that version were sent to it.

Change: the pool reports an ended idle connection, and a connection that is opened while no other one is open. The former makes the target one that may have restarted; the latter does so only while the view is older than it ever is with readers in reach of the store, and not for targets that have no report. Such a target is asked for its incarnation, as after a lost connection, at most once a second. While the view is unconfirmed the connection of the question is kept open, so that it shows restarts and saves further questions. The answer also decides the streams that had begun there before, including those whose callers have left. A request that goes on with a stream waits for the answer once its connection is open, and goes to another target without it.

--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -36,6 +36,10 @@
 	return report
 }
 
+// Unconfirmed reports whether the view was confirmed longer ago than it ever is while readers reach the store: targets may have
+// restarted since then whose records nobody reads.
+func (t *Tracker) Unconfirmed() bool { return t.ViewAge() > t.maxUnconfirmed() }
+
 // Confirm takes over another entry's report. Its position was the store's newest at the given time, in milliseconds of this
 // entry's Clock.SinceBoot. An older position, or one without an era if this entry's has one, says nothing. If the position
 // is newer than that of this entry's local copy, the copy is behind; maxBehindMillis counts from the first such report.
--- a/gateway/incarnations.go
+++ b/gateway/incarnations.go
@@ -19,7 +19,7 @@
 	maxIncarnationChecks = 32
 )
 
-// checkIncarnations asks the targets to which connections were lost whether they have restarted, until the context ends.
+// checkIncarnations asks the targets that may have restarted whether they have, until the context ends.
 func (g *Gateway) checkIncarnations(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxIncarnationChecks)
@@ -36,7 +36,11 @@
 
 func (g *Gateway) checkIncarnation(ctx context.Context, target *catalog.Target) {
 	askedAt := g.clock.Now()
-	born, err := upstream.Born(ctx, target)
+	ask := upstream.Born
+	if g.tracker.Unconfirmed() {
+		ask = g.pool.Born
+	}
+	born, err := ask(ctx, target)
 	detail := ""
 	switch {
 	case errors.Is(err, upstream.ErrNoReport):
@@ -45,7 +49,11 @@
 	case err != nil:
 		detail = oneLine(err.Error())
 	case born == target.Born:
-		g.scheduler.ConfirmIncarnation(g.clock.Now(), askedAt, target.ID, born)
+		until := askedAt
+		if now := g.clock.Now(); g.scheduler.ConfirmIncarnation(now, askedAt, target.ID, born) {
+			until = now
+		}
+		g.recordAnswered(target, until)
 	default:
 		g.scheduler.RecordRestart(target)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -201,6 +201,9 @@
 	case errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil:
 		g.scheduler.Release(now, slot, placement.Result{Outcome: placement.Abandoned})
 		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonDeadline, err.Error()), notSent: true}
+	case errors.Is(err, errDoubted):
+		g.scheduler.Release(now, slot, placement.Result{Outcome: placement.Abandoned})
+		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonTargetFailing, err.Error()).WithRetryAfter(shortRetryAfter), notSent: true}
 	case errors.Is(err, upstream.ErrNotSent):
 		g.scheduler.Release(now, slot, placement.Result{Outcome: placement.Unreachable})
 		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonTargetFailing, err.Error()).WithRetryAfter(shortRetryAfter), notSent: true}
@@ -333,5 +336,6 @@
 		Body:       r.body,
 		HasBody:    len(r.body) > 0 || r.req.ContentLength == 0 || len(r.req.TransferEncoding) > 0,
 		Repeatable: r.route.Repeatable(),
+		Verify:     r.verifyRelease(slot),
 	}
 }
--- a/gateway/undecided.go
+++ b/gateway/undecided.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"lovageshift"
+	"lovageshift/catalog"
 	"lovageshift/placement"
 	"lovageshift/stream"
 )
@@ -23,6 +24,7 @@
 type undecidedStream struct {
 	attempt string
 	origin  stream.Origin
+	beganAt lovageshift.Millis // of the first event
 }
 
 func (u *undecidedStreams) add(s undecidedStream) {
@@ -39,13 +41,31 @@
 	u.list = slices.DeleteFunc(u.list, func(s undecidedStream) bool {
 		origin, ok := incarnations.Decide(s.origin)
 		if ok {
-			decided = append(decided, undecidedStream{s.attempt, origin})
+			decided = append(decided, undecidedStream{s.attempt, origin, s.beganAt})
 		}
 		return ok || now > s.origin.Doubt.DecidedAt+undecidedMillis
 	})
 	return decided
 }
 
+// takeAnswered removes the streams that began at the target until the given time, and returns them with the version of the target,
+// which has answered as the incarnation that was known.
+func (u *undecidedStreams) takeAnswered(target *catalog.Target, until lovageshift.Millis) []undecidedStream {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	var decided []undecidedStream
+	hash, origin := stream.TargetHashOf(target.ID), stream.Origin{Service: target.Service, Version: target.Version}
+	u.list = slices.DeleteFunc(u.list, func(s undecidedStream) bool {
+		doubt := s.origin.Doubt
+		if doubt.Target != hash || doubt.Born != target.Born || s.beganAt > until {
+			return false
+		}
+		decided = append(decided, undecidedStream{s.attempt, origin, s.beganAt})
+		return true
+	})
+	return decided
+}
+
 // decideLater records that the version at which the request's stream began at the slot's target is not known yet, and remembers to
 // record it once it is known.
 func (r *request) decideLater(now lovageshift.Millis, slot *placement.Slot) {
@@ -55,7 +75,7 @@
 		origin.Doubt = stream.Doubt{
 			Target: stream.TargetHashOf(slot.Target.ID), Born: slot.Target.Born, DecidedAt: decidedAt,
 		}
-		g.undecided.add(undecidedStream{r.headers.ID, origin})
+		g.undecided.add(undecidedStream{r.headers.ID, origin, g.clock.Now()})
 	}
 	g.streams.Record(r.headers.ID, origin)
 }
@@ -64,7 +84,17 @@
 func (g *Gateway) recordDecided() {
 	incarnations := g.streams.Incarnations()
 	incarnations.Shown(g.changesShownUntil())
-	for _, s := range g.undecided.take(g.clock.Now(), incarnations) {
+	g.recordOrigins(g.undecided.take(g.clock.Now(), incarnations))
+}
+
+// recordAnswered records where streams began at the target until the given time, as it has answered as the incarnation that was
+// known. A target's incarnations follow each other, so it has had no other one since its record was written.
+func (g *Gateway) recordAnswered(target *catalog.Target, until lovageshift.Millis) {
+	g.recordOrigins(g.undecided.takeAnswered(target, until))
+}
+
+func (g *Gateway) recordOrigins(decided []undecidedStream) {
+	for _, s := range decided {
 		g.streams.Record(s.attempt, s.origin)
 	}
 }
--- a/placement/incarnation.go
+++ b/placement/incarnation.go
@@ -32,7 +32,7 @@
 	var doubted []*catalog.Target
 	for _, t := range s.targets {
 		due := t.checkedAt == 0 || now-t.checkedAt >= incarnationCheckInterval
-		if s.doubts(now, t) && due && !t.noReport {
+		if s.doubts(now, t) && due && !t.noReport && t.doubtedAt() < now {
 			t.checkedAt = now
 			doubted = append(doubted, t.Target)
 		}
@@ -40,17 +40,35 @@
 	return doubted
 }
 
+// RecordGap records that the target's incarnation with the given start may have ended, although no request has lost a connection
+// to it: the target has ended an idle one if ended is set, or none was open. It does not count as colder for that, as a target may
+// end idle connections at any time.
+func (s *Scheduler) RecordGap(now lovageshift.Millis, id lovageshift.TargetID, born int64, ended bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t := s.targets[id]
+	switch {
+	case t == nil || t.Born != born:
+	case ended:
+		t.lostAt = now
+	default:
+		t.unseenAt = now
+	}
+}
+
 // ConfirmIncarnation records that the target's incarnation with the given start answered a question that was sent at askedAt.
-// So it had not ended with the connections that were lost before, and is no colder than it was.
-func (s *Scheduler) ConfirmIncarnation(now, askedAt lovageshift.Millis, id lovageshift.TargetID, born int64) {
+// So it had not ended with the connections that were lost before, and is no colder than it was. The result reports whether it no
+// longer counts as one that may have restarted.
+func (s *Scheduler) ConfirmIncarnation(now, askedAt lovageshift.Millis, id lovageshift.TargetID, born int64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.targets[id]
-	if t == nil || t.Born != born || t.lostAt >= askedAt || now-askedAt > maxAnswerAge {
-		return
+	if t == nil || t.Born != born || t.doubtedAt() >= askedAt || now-askedAt > maxAnswerAge {
+		return false
 	}
-	t.lostAt, t.lossColdUntil, t.restarted = 0, 0, false
+	t.lostAt, t.unseenAt, t.lossColdUntil, t.restarted = 0, 0, 0, false
 	s.assignService(now, t.Service)
+	return true
 }
 
 // RecordNoReport records that the target's incarnation with the given start does not tell it when asked, so that it is not
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -115,17 +115,17 @@
 	case current != nil && current.Born != slot.Target.Born, slot.state.restarted:
 		return 0, false
 	case slot.state.mayHaveRestarted(now):
-		return slot.state.lostAt + recordDelayMillis, true
+		return slot.state.doubtedAt() + recordDelayMillis, true
 	default:
 		return now, true
 	}
 }
 
-// ShownSame reports whether the slot's target is known to be the incarnation for which the slot was granted: a connection to it
-// was never lost, or it has answered since.
+// ShownSame reports whether the slot's target is known to be the incarnation for which the slot was granted: it was never
+// doubted, or it has answered since.
 func (s *Scheduler) ShownSame(slot *Slot) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.targets[slot.Target.ID]
-	return current == slot.state && slot.state.lostAt == 0 && !slot.state.restarted
+	return current == slot.state && slot.state.doubtedAt() == 0 && !slot.state.restarted
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -83,9 +83,10 @@
 	limit          limitState
 	// unavailable is the state of the target's incarnation in Scheduler.unavailable, nil if it has none.
 	unavailable *unavailableState
-	// lostAt is when a connection to the target last failed or was lost, 0 for never: the target may have started again since
-	// then, and its new record may not have arrived.
-	lostAt lovageshift.Millis
+	// lostAt is when a connection to the target last failed, was lost or was found ended, 0 for never: the target may have started
+	// again since then, and its new record may not have arrived. unseenAt is when there last was no connection that would have
+	// shown that, while the view could not.
+	lostAt, unseenAt lovageshift.Millis
 	// restarted is set if another incarnation has answered at the target's address.
 	restarted bool
 	// checkedAt is when the target was last asked for its incarnation, 0 for never, and noReport whether it does not tell.
@@ -166,10 +167,20 @@
 	}
 }
 
-// mayHaveRestarted reports whether a connection to the target failed or was lost so lately that the record of its next
-// incarnation, which may have another version of its software, may not have arrived, or whether that is known not to have arrived.
+// doubtedAt returns the later one of lostAt and unseenAt. A target that does not tell its incarnation is not doubted for the latter:
+// nothing could end the doubt for as long as the view cannot.
+func (t *targetState) doubtedAt() lovageshift.Millis {
+	if t.noReport {
+		return t.lostAt
+	}
+	return max(t.lostAt, t.unseenAt)
+}
+
+// mayHaveRestarted reports whether doubtedAt is so late that the record of the target's next incarnation, which may have another
+// version of its software, may not have arrived, or whether that is known not to have arrived.
 func (t *targetState) mayHaveRestarted(now lovageshift.Millis) bool {
-	return t.restarted || t.lostAt > 0 && now-t.lostAt < recordDelayMillis
+	at := t.doubtedAt()
+	return t.restarted || at > 0 && now-at < recordDelayMillis
 }
 
 // movingAverage returns an exponential moving average, 0 before its first value, after one more value.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -72,28 +72,52 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), key: key}, nil
 }
 
+// setIdle records that the connection is idle from now on. The target ends it after the timeout, 0 for the default.
+func (c *conn) setIdle(now, timeout lovageshift.Millis) {
+	if timeout == 0 {
+		timeout = defaultIdleTimeout
+	}
+	c.idleSince, c.maxIdle = now, timeout-idleMargin
+}
+
 // inTurn reports whether the connection has received exactly one response, interim ones aside, to each of its requests.
 func (c *conn) inTurn() bool { return !c.outOfTurn && c.reader.Buffered() == 0 }
 
 // silent reports whether the connection is open and no bytes have been received on it since the last response. Bytes that
 // arrive before a request is written are no response to it, so they make the connection unusable.
 func (c *conn) silent() bool {
+	count, err := c.peek()
+	return count == 0 && err == unix.EAGAIN
+}
+
+// ended reports whether the target has ended the connection, and no bytes came before that.
+func (c *conn) ended() bool {
+	count, err := c.peek()
+	return count == 0 && err != unix.EAGAIN
+}
+
+// peek returns how many bytes could be read at once, at most 1, or the error of reading: unix.EAGAIN if there are none, nil if
+// the connection has ended in order.
+func (c *conn) peek() (int, error) {
 	tcp, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	silent := false
+	count := 0
+	var sockErr error
 	var peeked [1]byte
 	err = raw.Read(func(descriptor uintptr) bool {
-		_, _, sockErr := unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		silent = sockErr == unix.EAGAIN
+		count, _, sockErr = unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && silent
+	if err != nil {
+		return 0, err
+	}
+	return max(count, 0), sockErr
 }
 
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive header, which the header gives in seconds; 0 if there
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -48,18 +48,29 @@
 	metrics *metrics.Metrics
 	// onResponse is the function set by OnResponse.
 	onResponse func(id lovageshift.TargetID, born int64, header platform.ResponseHeader)
+	// onGap is the function set by OnGap.
+	onGap func(id lovageshift.TargetID, born int64, ended bool)
 
 	mutex sync.Mutex
 	// idle holds the idle connections of each target, the one used last at the end.
 	idle map[connKey][]*conn
 	// openCount is the number of open connections to each target, those in use and being opened included.
 	openCount map[connKey]int
-	recent    recentIDs
+	// openingCount is the number of those that are being opened.
+	openingCount map[connKey]int
+	// limits holds the limit of the last request to each target that has open connections, watches the connections on which
+	// targets have answered a question for their incarnation, see Born.
+	limits  map[connKey]int
+	watches map[connKey]*conn
+	recent  recentIDs
 }
 
 // NewPool returns a pool without connections.
 func NewPool(clock lovageshift.Clock, m *metrics.Metrics) *Pool {
-	return &Pool{clock: clock, metrics: m, idle: map[connKey][]*conn{}, openCount: map[connKey]int{}, recent: newRecentIDs()}
+	return &Pool{
+		clock: clock, metrics: m, idle: map[connKey][]*conn{}, openCount: map[connKey]int{}, openingCount: map[connKey]int{},
+		limits: map[connKey]int{}, watches: map[connKey]*conn{}, recent: newRecentIDs(),
+	}
 }
 
 // OnResponse sets the function that is called with the header of each response that comes from the incarnation of the target
@@ -95,6 +106,7 @@
 // second result reports whether the connection has been used before.
 func (p *Pool) acquire(ctx context.Context, key connKey, limit int, request *Request) (*conn, bool, error) {
 	mayReuse := p.isFirst(key, request.ID)
+	ended := false
 	for mayReuse {
 		idle := p.popIdle(key, request.Repeatable)
 		if idle == nil {
@@ -103,6 +115,7 @@
 		if idle.silent() {
 			return idle, true, nil
 		}
+		ended = ended || idle.ended()
 		p.discard(idle)
 	}
 	if !p.addOpen(key, limit) {
@@ -111,8 +124,8 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	opened, err := dial(ctx, key)
+	p.finishOpening(key, err == nil, ended)
 	if err != nil {
-		p.removeOpen(key)
 		p.metrics.Add(metrics.TargetConnections, "refused", 1)
 		return nil, false, trace.Wrap(ErrNotSent, "%v", err)
 	}
@@ -158,15 +171,20 @@
 		return false
 	}
 	p.openCount[key]++
+	p.openingCount[key]++
+	p.limits[key] = limit
 	return true
 }
 
-// evictIdle closes the connection that has been idle longest, so that a new one can be opened; it reports whether there
-// was one. The mutex must be held.
+// evictIdle closes the connection that has been idle longest, or else the one in watches, so that a new one can be opened; it
+// reports whether there was one. The mutex must be held.
 func (p *Pool) evictIdle(key connKey) bool {
 	list := p.idle[key]
 	if len(list) == 0 {
-		return false
+		return p.dropWatch(key)
+	}
+	if list[0].ended() {
+		p.reportGap(key, true)
 	}
 	_ = list[0].Close()
 	p.idle[key] = list[1:]
@@ -177,9 +195,15 @@
 func (p *Pool) removeOpen(key connKey) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.removeOpenLocked(key)
+}
+
+// removeOpenLocked is removeOpen for a caller that holds the mutex.
+func (p *Pool) removeOpenLocked(key connKey) {
 	p.openCount[key]--
 	if p.openCount[key] <= 0 {
 		delete(p.openCount, key)
+		delete(p.limits, key)
 	}
 }
 
@@ -200,11 +224,7 @@
 // putIdle adds the connection to the idle ones, for the next request. idleTimeout is the Keep-Alive timeout that the
 // target announced, 0 if none. The connection is closed instead if that timeout is not longer than idleMargin.
 func (p *Pool) putIdle(c *conn, idleTimeout lovageshift.Millis) {
-	if idleTimeout == 0 {
-		idleTimeout = defaultIdleTimeout
-	}
-	c.idleSince = p.clock.Now()
-	c.maxIdle = idleTimeout - idleMargin
+	c.setIdle(p.clock.Now(), idleTimeout)
 	if c.maxIdle <= 0 {
 		p.discard(c)
 		return
@@ -235,8 +255,17 @@
 			delete(p.idle, key)
 		}
 	}
+	for key, c := range p.watches {
+		if now-c.idleSince >= c.maxIdle || !inUse(key.id, key.born) {
+			delete(p.watches, key)
+			expired = append(expired, c)
+		}
+	}
 	p.mutex.Unlock()
 	for _, c := range expired {
+		if c.ended() {
+			p.reportGap(c.key, true)
+		}
 		p.discard(c)
 	}
 }
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -56,38 +56,63 @@
 // Born asks the target, on a connection of its own, when its present incarnation started, and returns the wall time in
 // milliseconds since the Unix epoch.
 func Born(ctx context.Context, target *catalog.Target) (int64, error) {
+	return askBorn(ctx, target, nil)
+}
+
+// Born is the function Born, but keeps the connection open afterwards. Until the target ends it, or it has been idle for as long as
+// others may be, it shows that the target has not restarted (see OnGap). No request is sent on it.
+func (p *Pool) Born(ctx context.Context, target *catalog.Target) (int64, error) {
+	return askBorn(ctx, target, p.keepWatch)
+}
+
+// askBorn is the function Born. If the target has answered as the incarnation that is known, and leaves the connection open, askBorn
+// passes the connection to keep, which may be nil, with the timeout that the target announced for it.
+func askBorn(ctx context.Context, target *catalog.Target, keep func(*conn, lovageshift.Millis)) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	c, err := dial(ctx, connKey{target.ID, target.Born, target.Address})
 	if err != nil {
 		return 0, errors.Join(ErrNotSent, err)
 	}
-	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	born, response, err := c.askBorn(target, keep != nil)
+	inTime := stop()
+	if err != nil || born != target.Born || !inTime || keep == nil || response.Close || !c.inTurn() {
+		_ = c.Close()
+		return born, err
+	}
+	keep(c, keepAliveTimeout(response.Header.Get("Keep-Alive")))
+	return born, nil
+}
+
+// askBorn asks for the report on the connection, and returns the start that it tells and the response, whose body has been read.
+func (c *conn) askBorn(target *catalog.Target, keep bool) (int64, *http.Response, error) {
 	request := &Request{Method: http.MethodGet, URI: platform.ReportPath, Host: target.Address, Header: platform.ReportHeader(target.ID)}
-	request.Header.Set("Connection", "close")
+	if !keep {
+		request.Header.Set("Connection", "close")
+	}
 	if _, err := c.Write(encode(request)); err != nil {
-		return 0, trace.Wrap(ErrConnectionLost, "write: %v", err)
+		return 0, nil, trace.Wrap(ErrConnectionLost, "write: %v", err)
 	}
 	c.head.start()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
 	c.head.stop()
 	if err != nil {
-		return 0, headerError(err)
+		return 0, nil, headerError(err)
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed:
-		return 0, trace.Wrap(ErrNoReport, "status %d", response.StatusCode)
+		return 0, nil, trace.Wrap(ErrNoReport, "status %d", response.StatusCode)
 	case http.StatusMisdirectedRequest:
-		return 0, trace.Wrap(errOtherTarget, "status %d", response.StatusCode)
+		return 0, nil, trace.Wrap(errOtherTarget, "status %d", response.StatusCode)
 	default:
-		return 0, trace.Wrap(ErrInvalidResponse, "status %d", response.StatusCode)
+		return 0, nil, trace.Wrap(ErrInvalidResponse, "status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
-		return 0, trace.Wrap(ErrConnectionLost, "body: %v", err)
+		return 0, nil, trace.Wrap(ErrConnectionLost, "body: %v", err)
 	}
-	return platform.DecodeReport(body)
+	born, err := platform.DecodeReport(body)
+	return born, response, err
 }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -47,6 +47,8 @@
 	// Repeatable reports whether the request may run more than once. If not, it is not sent on a connection that has been
 	// idle for longer than maxUnsafeIdle.
 	Repeatable bool
+	// Verify, if set, is called once the connection is open. If it returns an error, nothing is sent on it.
+	Verify func(ctx context.Context) error
 }
 
 // TargetResponse is a target's response whose header has been read. Close must be called.
@@ -79,6 +81,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Verify != nil {
+		if err := request.Verify(ctx); err != nil {
+			p.discard(c)
+			return nil, errors.Join(ErrNotSent, err)
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, err := p.roundTrip(c, request)
 	if err != nil {
