Let no record from before an outage decide a stream that is in doubt

Cause: once the store was back, a view that it confirmed counted as complete at once, also before a target that had restarted during the outage had written its record. A stream left undecided could be decided by the old record then.

Change: for 5 s after an outage of 3 s, or after an entry's start, restarts do not count as shown by the view (stream.Shown).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	outputs      *outputAverages
 	streams      *stream.Client
 	versions     *stream.Versions
+	shown        *stream.Shown
 	undecided    undecidedStreams
 	self         netip.Addr // this entry's address
 	peers        Peers
@@ -130,6 +131,7 @@
 		outputs:      newOutputAverages(),
 		streams:      stream.NewClient(options.Clock),
 		versions:     stream.NewVersions(options.FirstStart),
+		shown:        stream.NewShown(options.Clock.Now()),
 		revocation:   options.Revocation,
 		startedAt:    options.Clock.SinceBoot(),
 	}
--- a/gateway/undecided.go
+++ b/gateway/undecided.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// changesShownUntil returns the time (Clock.Now) until which the view counts as complete.
+// changesShownUntil returns the time (Clock.Now) until which the restarts of targets show in the view.
 func (g *Gateway) changesShownUntil() lovageshift.Millis {
-	now := g.clock.Now()
-	return min(now, now-g.tracker.ViewAge()+maxVersionsAge)
+	return g.shown.Until(g.clock.Now(), g.tracker.ViewAge())
 }
