Record where streams began at six recorders, and ask displaced ones

Cause: of the eight recorders in use two may be left after the loss of two of three zones; a fifth of the streams had none of its four copies there. And a recorder that a higher ranking one displaced was not asked any more, although it kept streams of a moment ago.

Change: six copies, and a search that those in use cannot answer asks the next eight recorders too, together with the entries.

--- a/stream/client.go
+++ b/stream/client.go
@@ -169,14 +169,14 @@
 func (c *Client) allAddresses(attempt AttemptHash) []netip.Addr {
 	now := c.clock.Now()
 	replicas, others := ReplicasOf(attempt, c.addresses(now))
-	all := slices.Concat(replicas, others, c.recorders.Leaving(now), c.peers.Live())
+	all := slices.Concat(replicas, others, c.recorders.Next(now), c.recorders.Leaving(now), c.peers.Live())
 	slices.SortFunc(all, netip.Addr.Compare)
 	return slices.Compact(all)
 }
 
 // ask registers a channel for the answers where the attempt's stream began. The returned function ends that.
 func (c *Client) ask(attempt AttemptHash) (chan answer, func()) {
-	answers := make(chan answer, len(c.peers.Live())+2*chosenCount)
+	answers := make(chan answer, len(c.peers.Live())+3*chosenCount)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.asking[attempt] = append(c.asking[attempt], answers)
--- a/stream/recorders.go
+++ b/stream/recorders.go
@@ -14,8 +14,9 @@
 const (
 	// All entries use the same few recorders, so that few messages keep all of them known everywhere.
 	chosenCount = 8
-	// An origin is recorded at this many of them.
-	copies = 4
+	// An origin is recorded at this many of them. Of the eight in use, two may be all that are left of three zones after two of these
+	// are lost. With four copies a fifth of the streams had none there.
+	copies = 6
 	// A recorder that was not seen for this long is not used.
 	recorderTimeoutMillis lovageshift.Millis = 8000
 	// A report that a recorder was running may reach an entry so much later than the recorder's own message.
@@ -96,6 +97,24 @@
 // Chosen returns the recorders that are in use, at most chosenCount. All entries that know of the same recorders choose the
 // same ones.
 func (r *Recorders) Chosen(now lovageshift.Millis) []RecorderAge {
+	live := r.ranked(now)
+	return live[:min(len(live), chosenCount)]
+}
+
+// Next returns as many recorders at most that are the next to be chosen. Some of them were in use before others became known, or
+// are at other entries.
+func (r *Recorders) Next(now lovageshift.Millis) []netip.Addr {
+	var next []netip.Addr
+	for rank, recorder := range r.ranked(now) {
+		if rank >= chosenCount && rank < 2*chosenCount {
+			next = append(next, recorder.Address)
+		}
+	}
+	return next
+}
+
+// ranked returns the recorders that were seen lately in the order in which they are chosen.
+func (r *Recorders) ranked(now lovageshift.Millis) []RecorderAge {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var live []RecorderAge
@@ -108,7 +127,7 @@
 		live = append(live, RecorderAge{address, now - at})
 	}
 	slices.SortFunc(live, func(a, b RecorderAge) int { return cmp.Compare(r.score(b.Address), r.score(a.Address)) })
-	return live[:min(len(live), chosenCount)]
+	return live
 }
 
 // score returns the score by which recorders are chosen. The caller holds the mutex.
