--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	outputs      *outputAverages
 	streams      *stream.Client
 	versions     *stream.Versions
+	shown        *stream.Shown
 	undecided    undecidedStreams
 	self         netip.Addr // this entry's address
 	peers        Peers
@@ -135,6 +136,7 @@
 		outputs:      newOutputAverages(),
 		streams:      stream.NewClient(options.Clock),
 		versions:     stream.NewVersions(options.FirstStart),
+		shown:        stream.NewShown(options.Clock.Now()),
 		revocation:   options.Revocation,
 		startedAt:    options.Clock.SinceBoot(),
 	}
@@ -142,6 +144,7 @@
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
 	options.Tracker.OnChange(g.viewChanged)
 	g.pool.OnResponse(g.observe)
+	g.pool.OnGap(g.recordGap)
 	return g
 }
 
