Log what was free and waiting in the groups that a refused request did not ask

Cause: a request asks one group of its service, and its refusal did not tell whether the others had capacity. Change: Refusal.Elsewhere holds the number of the other groups, their free slots and waiting requests as far as the entry knew; the line of a refused request gets otherGroups, freeElsewhere and waitingElsewhere if there are other groups. PickGroup and the log share the rule for which targets count (mayRun).

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -104,7 +104,7 @@
 	if refusal == nil {
 		refusal = &placement.Refusal{Reason: lovageshift.ReasonShed, RetryAfter: shortRetryAfter}
 	}
-	r.summary.waited, r.summary.obstacles = refusal.Waited, refusal.Obstacles
+	r.summary.waited, r.summary.obstacles, r.summary.elsewhere = refusal.Waited, refusal.Obstacles, refusal.Elsewhere
 	detail := fmt.Sprintf("no place in time: %d ahead, expected wait %d ms", refusal.Ahead, refusal.ExpectedWait)
 	return nil, lovageshift.NotRun(refusal.Reason, detail).WithRetryAfter(refusal.RetryAfter)
 }
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -19,6 +19,8 @@
 	running int
 	// obstacles is what kept the request from the targets that can run it, if it was last refused a slot.
 	obstacles placement.Obstacles
+	// elsewhere is the load of the groups that were not asked for a slot then.
+	elsewhere placement.GroupLoad
 	// throttled is how long the request had to wait for its account's tokens.
 	throttled lovageshift.Millis
 	// waited is the time from the request's arrival until it last got a slot or was refused one.
@@ -104,13 +106,19 @@
 	if r.summary.obstacles != (placement.Obstacles{}) {
 		detail += " (" + describeObstacles(r.summary.obstacles) + ")"
 	}
-	g.log.Info(logEvent, "request", r.headers.ID, "status", r.summary.status, "detail", detail,
+	fields := []any{
+		"request", r.headers.ID, "status", r.summary.status, "detail", detail,
 		"route", route, "rank", rank, "account", account, "cost", r.cost,
 		"prompt", r.headers.PromptTokens, "output", r.headers.OutputTokens, "expectedOutput", r.loggedOutput(),
 		"version", r.version, "viewAgeMillis", g.tracker.ViewAge(),
 		"target", r.summary.target, "zone", r.summary.zone, "release", r.summary.release, "resumes", r.headers.Resumes, "running", r.summary.running, "tried", r.triedCount(),
 		"throttledMillis", r.summary.throttled, "waitedMillis", r.summary.waited, "firstByteMillis", r.summary.firstByte, "firstEventMillis", r.summary.firstEvent,
-		"events", r.summary.events, "longestGapMillis", r.summary.maxEventGap, "totalMillis", g.clock.Now()-r.arrived)
+		"events", r.summary.events, "longestGapMillis", r.summary.maxEventGap, "totalMillis", g.clock.Now() - r.arrived,
+	}
+	if load := r.summary.elsewhere; load.Groups > 0 {
+		fields = append(fields, "otherGroups", load.Groups, "freeElsewhere", load.Free, "waitingElsewhere", load.Waiting)
+	}
+	g.log.Info(logEvent, fields...)
 }
 
 // triedCount returns the number of targets at which the request got a slot, including targets that turned out to be
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -28,6 +28,8 @@
 	Ahead        int
 	// Obstacles says what kept the job from the targets that can run it, as far as the refusing entry knew them.
 	Obstacles Obstacles
+	// Elsewhere is the load of the service's groups that were not asked, as far as the entry of the job knew it.
+	Elsewhere GroupLoad
 }
 
 // Obstacles counts the targets of a group that can run a refused job, by what kept the job from them. A target counts under
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -235,7 +235,7 @@
 	total := 0.0
 	for i, group := range groups {
 		for _, t := range s.groups[group] {
-			if job.fits(t) && !job.hasTried(t) && s.tickedAt >= t.unavailable.openAt() {
+			if s.mayRun(s.tickedAt, t, job) {
 				// A target without known free slots keeps a small weight, as other entries report the end of their requests only
 				// with a delay.
 				free[i] += float64(max(t.slots()-t.running(), 0)) + 0.1
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -76,6 +76,15 @@
 		return placement.Decision{Refusal: refusal}
 	}
 	group := c.scheduler.PickGroup(job, rand.Float64())
+	decision := c.reserveIn(ctx, group, job)
+	if decision.Refusal != nil {
+		decision.Refusal.Elsewhere = c.scheduler.LoadElsewhere(c.clock.Now(), job, group)
+	}
+	return decision
+}
+
+// reserveIn waits for a slot at a target of the group, or for a refusal.
+func (c *Client) reserveIn(ctx context.Context, group placement.GroupID, job *placement.Job) placement.Decision {
 	for range maxCoordinators {
 		coordinator := c.coordinatorOf(group)
 		if coordinator == c.peers.Self() {
