Ask a second group after a refusal for want of capacity

Cause: the refusal of the one group that a request asked was final, although other groups of its service had free slots; groups were drawn by state updates only, which are up to 0.1 s old. Change: entries keep what coordinators' replies tell of each group (that it is full, how many wait, for which job it has no slot in time), and choose groups by it while it is newer than state updates. After a shed refusal, one other group is asked within the time that the request may wait, unless it is known to be full, has lately refused such a request, or its coordinator is unresponsive. Of two refusals the shorter Retry-After counts. New counter lovageshift_second_groups, field groupsAsked of log lines. No message changed.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -95,6 +95,7 @@
 func (r *request) reserveSlot(ctx context.Context) (*placement.Slot, *lovageshift.Refusal) {
 	g := r.gateway
 	decision := g.reservations.Reserve(ctx, r.job)
+	r.recordGroups(decision)
 	if decision.Slot != nil {
 		r.summary.waited = decision.Slot.Waited
 		r.job.Tried = append(r.job.Tried, placement.HashOf(decision.Slot.Target.ID))
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -21,6 +21,8 @@
 	obstacles placement.Obstacles
 	// elsewhere is the load of the groups that were not asked for a slot then.
 	elsewhere placement.GroupLoad
+	// groups is how many groups were last asked for a slot.
+	groups int
 	// throttled is how long the request had to wait for its account's tokens.
 	throttled lovageshift.Millis
 	// waited is the time from the request's arrival until it last got a slot or was refused one.
@@ -115,12 +117,28 @@
 		"throttledMillis", r.summary.throttled, "waitedMillis", r.summary.waited, "firstByteMillis", r.summary.firstByte, "firstEventMillis", r.summary.firstEvent,
 		"events", r.summary.events, "longestGapMillis", r.summary.maxEventGap, "totalMillis", g.clock.Now() - r.arrived,
 	}
+	if r.summary.groups > 1 {
+		fields = append(fields, "groupsAsked", r.summary.groups)
+	}
 	if load := r.summary.elsewhere; load.Groups > 0 {
 		fields = append(fields, "otherGroups", load.Groups, "freeElsewhere", load.Free, "waitingElsewhere", load.Waiting)
 	}
 	g.log.Info(logEvent, fields...)
 }
 
+// recordGroups counts a request for which a second group was asked.
+func (r *request) recordGroups(decision placement.Decision) {
+	r.summary.groups = decision.Groups
+	if decision.Groups < 2 {
+		return
+	}
+	answer := "refused"
+	if decision.Slot != nil {
+		answer = "granted"
+	}
+	r.gateway.metrics.Add(metrics.SecondGroups, answer, 1)
+}
+
 // triedCount returns the number of targets at which the request got a slot, including targets that turned out to be
 // unknown to this entry.
 func (r *request) triedCount() int {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,6 +45,9 @@
 	// newIncarnation of the engine, or slowPrefill if the first token came so late after the request's admission that the
 	// engine must be cold. Resets after a crash or after repeated failures aren't counted.
 	ColdResets Name = "lovageshift_cold_starts"
+	// SecondGroups counts requests for which a second group of targets was asked for a slot after the refusal of the first,
+	// by its answer: granted, or refused if there was none, too.
+	SecondGroups Name = "lovageshift_second_groups"
 	// StoreCalls counts calls to the metadata store by result.
 	StoreCalls Name = "lovageshift_store_calls"
 	// RecordChanges counts changes of the local copy of the store's records by kind. The kind is also the event under which
@@ -79,7 +82,7 @@
 
 var counterNames = []Name{
 	Refusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
-	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed,
+	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed, SecondGroups,
 }
 
 // Counts holds the value of one counter for each label value.
--- a/placement/job.go
+++ b/placement/job.go
@@ -82,6 +82,8 @@
 type Decision struct {
 	Slot    *Slot
 	Refusal *Refusal
+	// Groups is how many groups were asked for the slot.
+	Groups int
 }
 
 // Waiter is a job in the queue of a group.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -68,6 +68,8 @@
 	groups          map[GroupID][]*targetState
 	groupsByService map[catalog.ServiceID][]GroupID
 	queues          map[GroupID]*queue
+	// reports holds what replies have told of the load of groups.
+	reports map[GroupID]*groupReport
 	// leaving holds the incarnations that leave, leavingTargets those of each group that have a state.
 	leaving        map[incarnation]*leavingState
 	leavingTargets map[GroupID][]*targetState
@@ -100,6 +102,7 @@
 		groups:          map[GroupID][]*targetState{},
 		groupsByService: map[catalog.ServiceID][]GroupID{},
 		queues:          map[GroupID]*queue{},
+		reports:         map[GroupID]*groupReport{},
 		leaving:         map[incarnation]*leavingState{},
 		leavingTargets:  map[GroupID][]*targetState{},
 		unavailable:     map[incarnation]*unavailableState{},
@@ -136,6 +139,7 @@
 		}
 	}
 	s.regroup(view)
+	s.forgetReports()
 	s.assignAll(now, noWaiter)
 }
 
@@ -221,45 +225,6 @@
 	s.assignAll(now, everyWaiter)
 }
 
-// PickGroup returns the group of the job's service in which to request a slot, or "" if the service has no targets. The
-// probability of a group is nearly proportional to its free slots, at targets that can run the job and were not tried for it,
-// if point is uniformly random in [0, 1).
-func (s *Scheduler) PickGroup(job *Job, point float64) GroupID {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	groups := s.groupsByService[job.Service]
-	if len(groups) < 2 {
-		return firstGroup(groups)
-	}
-	free := make([]float64, len(groups))
-	total := 0.0
-	for i, group := range groups {
-		for _, t := range s.groups[group] {
-			if s.mayRun(s.tickedAt, t, job) {
-				// A target without known free slots keeps a small weight, as other entries report the end of their requests only
-				// with a delay.
-				free[i] += float64(max(t.slots()-t.running(), 0)) + 0.1
-			}
-		}
-		total += free[i]
-	}
-	rest := point * total
-	for i, group := range groups {
-		rest -= free[i]
-		if rest < 0 {
-			return group
-		}
-	}
-	return groups[len(groups)-1]
-}
-
-func firstGroup(groups []GroupID) GroupID {
-	if len(groups) == 0 {
-		return ""
-	}
-	return groups[0]
-}
-
 // Submit queues a request of this entry for a slot at one of the group's targets. The role is what
 // this entry is to the group. The function onDecision is called once, possibly before Submit returns, unless the request is
 // canceled first. It must not call the scheduler.
--- a/reservation/client.go
+++ b/reservation/client.go
@@ -76,11 +76,7 @@
 		return placement.Decision{Refusal: refusal}
 	}
 	group := c.scheduler.PickGroup(job, rand.Float64())
-	decision := c.reserveIn(ctx, group, job)
-	if decision.Refusal != nil {
-		decision.Refusal.Elsewhere = c.scheduler.LoadElsewhere(c.clock.Now(), job, group)
-	}
-	return decision
+	return c.askSecond(ctx, group, job, c.reserveIn(ctx, group, job))
 }
 
 // reserveIn waits for a slot at a target of the group, or for a refusal.
@@ -90,11 +86,7 @@
 		if coordinator == c.peers.Self() {
 			return c.submitLocally(ctx, group, c.roleIn(group), job)
 		}
-		decision, err := c.requestSlot(ctx, coordinator, group, job)
-		for isTargetUnusable(err) {
-			decision, err = c.requestSlot(ctx, coordinator, group, job)
-		}
-		if err == nil {
+		if decision, err := c.requestUsable(ctx, coordinator, group, job); err == nil {
 			return decision
 		}
 		c.avoid(coordinator, group)
@@ -102,6 +94,18 @@
 	return c.submitLocally(ctx, group, placement.Other, job)
 }
 
+// requestUsable requests a slot from the coordinator, again after a grant at a target that cannot be used.
+func (c *Client) requestUsable(ctx context.Context, coordinator netip.Addr, group placement.GroupID, job *placement.Job) (placement.Decision, error) {
+	decision, err := c.requestSlot(ctx, coordinator, group, job)
+	for isTargetUnusable(err) {
+		decision, err = c.requestSlot(ctx, coordinator, group, job)
+	}
+	if err == nil {
+		c.scheduler.RecordDecision(c.clock.Now(), group, job, decision)
+	}
+	return decision, err
+}
+
 // isTargetUnusable reports whether the error of AcquireGranted is that of a target which the coordinator may grant because it
 // knows less of it than this entry.
 func isTargetUnusable(err error) bool {
@@ -121,6 +125,9 @@
 	waiter := c.scheduler.Submit(c.clock.Now(), group, role, job, func(d placement.Decision) { decided <- d })
 	select {
 	case decision := <-decided:
+		if role == placement.Coordinator {
+			c.scheduler.RecordDecision(c.clock.Now(), group, job, decision)
+		}
 		return decision
 	case <-ctx.Done():
 	}
@@ -187,6 +194,9 @@
 				return placement.Decision{}, errUnresponsive
 			}
 		case reply.State == wire.ReserveState_RESERVE_STATE_QUEUED:
+			if interval != refreshMillis {
+				c.scheduler.RecordQueued(c.clock.Now(), group)
+			}
 			unanswered, interval = 0, refreshMillis
 			later := receive(ctx, replies, interval)
 			if later != nil && later.State != wire.ReserveState_RESERVE_STATE_QUEUED {
--- a/reservation/resumed_test.go
+++ b/reservation/resumed_test.go
@@ -93,7 +93,7 @@
 }
 
 // reportRunning sends the requests at each target to the entries whose turn it is.
-func (s *resumeSimulation) reportRunning(now lovageshift.Millis, e *simEntry, from *placement.Scheduler) {
+func (s *simulation) reportRunning(now lovageshift.Millis, e *simEntry, from *placement.Scheduler) {
 	own := from.OwnRunning()
 	s.sendUpdate(now, e, func(receiver *simEntry, to *placement.Scheduler) {
 		running := map[placement.TargetHash]placement.PeerRunning{}
