Refuse requests early that cannot get a slot in time

Cause: expectedWait took the grants of the last second for the rate at which slots come free. At the begin of a burst these include all slots that were free before, so requests were queued without a prospect and refused after most of their wait, the most urgent ones too. A queue whose requests are all expected to be served just in time refuses many of them late. Refused requests counted as arrivals that go before less urgent ones. Change: the rate is at most the running requests divided by the mean time for which slots are held, by target. For an eighth of its objective, a new request is refused if the expected wait and its standard deviation are too long. A refused request is taken out of the arrivals of its rank. Retry-After is never before a slot is expected, up to 3 s. A grant's time is that of the grant, not of the request.

--- a/placement/assign.go
+++ b/placement/assign.go
@@ -34,6 +34,7 @@
 	q.promoteResuming(now)
 	q.promote()
 	free := s.freeTargets(now, group)
+	freed := s.freedPerSecond(group)
 	ahead := 0
 	aheadByRank := map[lovageshift.Rank]int{}
 	q.removeIf(func(w *Waiter) bool {
@@ -42,8 +43,8 @@
 			return true
 		}
 		if judge(w) {
-			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank])
-			if w.waitIsOver(now, expected) || w.job.HasVersion && !s.hasTarget(group, w.job) {
+			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank], freed)
+			if w.waitIsOver(now, expected+w.margin(now, expected, ahead)) || w.job.HasVersion && !s.hasTarget(group, w.job) {
 				s.giveUp(now, q, w, free, expected, ahead)
 				return true
 			}
@@ -71,8 +72,8 @@
 		return
 	}
 	w.done = true
-	q.resuming.recordRefusal(w)
-	w.onDecision(nil, s.newRefusal(now, w, expected, ahead))
+	q.recordRefusal(now, w)
+	w.onDecision(now, nil, s.newRefusal(now, w, expected, ahead))
 }
 
 func (s *Scheduler) grant(now lovageshift.Millis, q *queue, w *Waiter, chosen *targetState) {
@@ -85,5 +86,5 @@
 		chosen.grantTimes = append(chosen.grantTimes, now)
 	}
 	w.done = true
-	w.onDecision(chosen, nil)
+	w.onDecision(now, chosen, nil)
 }
--- a/placement/groupload_test.go
+++ b/placement/groupload_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/placement"
 )
@@ -29,3 +30,23 @@
 		So(s.LoadElsewhere(1, job, "pool/0", "pool/1"), ShouldResemble, placement.GroupLoad{})
 	})
 }
+
+// TestRefusedRequestsDelayNobody guards against estimates that count requests which were refused, and which may have asked
+// another group, among those that go before less urgent ones.
+func TestRefusedRequestsDelayNobody(t *testing.T) {
+	Convey("A request of a less urgent rank is queued while many urgent ones are refused", t, func() {
+		s := newScheduler(&catalog.Service{ID: pool, Engine: true}, targets(1, 10)...)
+		var held []*submission
+		for now := lovageshift.Millis(100); now < 1100; now += 20 {
+			if len(held) == 10 {
+				s.Release(now, held[0].Slot, placement.Result{Outcome: placement.Served})
+				held = held[1:]
+			}
+			held = append(held, submit(s, now, &placement.Job{Rank: 1}))
+			if len(held) == 10 {
+				So(submit(s, now, &placement.Job{QueueDeadline: now}).Refusal, ShouldNotBeNil)
+			}
+		}
+		So(submit(s, 1100, &placement.Job{Rank: 1, QueueDeadline: 1200}).Refusal, ShouldBeNil)
+	})
+}
--- a/placement/job.go
+++ b/placement/job.go
@@ -74,6 +74,7 @@
 	// entry.
 	OnRelease    func(Result)
 	promptTokens lovageshift.Tokens
+	grantedAt    lovageshift.Millis // when this entry assigned the slot, 0 if another one granted it
 	state        *targetState
 	granter      netip.Addr // the other entry that granted the slot, invalid if this entry assigned it itself
 }
@@ -94,6 +95,8 @@
 	own bool
 	// number is the waiter's position in the order of submission to this scheduler.
 	number uint64
+	// submittedAt is when the job was submitted to this scheduler.
+	submittedAt lovageshift.Millis
 	// done reports whether the waiter has left the queue, with or without a slot.
 	done bool
 	// promoted reports whether the waiter goes before all that are not promoted, whatever their rank. queue.promote
@@ -105,9 +108,9 @@
 	// wellEnough is what the target has to fulfil. In place of a refusal, the request also gets one that is only expected to
 	// complete it by its deadline.
 	wellEnough prediction
-	// onDecision is called once with either the chosen target or the refusal, unless the waiter is canceled first. It
-	// must not call the scheduler.
-	onDecision func(*targetState, *Refusal)
+	// onDecision is called once with the time and either the chosen target or the refusal, unless the waiter is canceled
+	// first. It must not call the scheduler.
+	onDecision func(lovageshift.Millis, *targetState, *Refusal)
 }
 
 // Result is how a request ended that had a slot at a target.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -154,11 +154,15 @@
 }
 
 // expectedWait estimates how much longer a job will wait behind ahead others, of which aheadOfSameRank have its rank.
-// It assumes that slots come free at the rate at which they were granted in the last second, and that more urgent
-// requests keep arriving at the rate of the last second and get those slots first. The guaranteed share of the job's
-// rank may shorten the wait.
-func (q *queue) expectedWait(now lovageshift.Millis, job *Job, ahead, aheadOfSameRank int) lovageshift.Millis {
-	all := q.grants.perSecond(now)
+// It assumes that slots come free at the rate at which they were granted in the last second, or at the rate freed a second
+// if that is known and lower, and that more urgent requests keep arriving at the rate of the last second and get those
+// slots first. The guaranteed share of the job's rank may shorten the wait.
+func (q *queue) expectedWait(now lovageshift.Millis, job *Job, ahead, aheadOfSameRank int, freed float64) lovageshift.Millis {
+	granted := q.grants.perSecond(now)
+	all := granted
+	if freed > 0 {
+		all = min(all, freed)
+	}
 	available := all
 	for rank, arrivals := range q.arrivals {
 		if rank < job.Rank {
@@ -169,7 +173,7 @@
 	// the queue early, canceled or refused.
 	available = max(available, minRateShare*all, minRate)
 	wait := float64(ahead+1) / available
-	if guaranteed := q.grantedWork.perSecond(now) * guaranteedShare / workOf(job); guaranteed > 0 {
+	if guaranteed := q.grantedWork.perSecond(now) * all / max(granted, 1) * guaranteedShare / workOf(job); guaranteed > 0 {
 		wait = min(wait, guaranteedWaitFactor*float64(aheadOfSameRank+1)/guaranteed)
 	}
 	return lovageshift.Millis(wait * 1000)
--- a/placement/ratemeter.go
+++ b/placement/ratemeter.go
@@ -29,6 +29,14 @@
 	m.counts[m.step%rateSteps] += amount
 }
 
+// remove takes back an amount that was added at the given time.
+func (m *rateMeter) remove(now, at lovageshift.Millis, amount int) {
+	m.advance(now)
+	if step := int64(at / rateStep); step > m.step-rateSteps {
+		m.counts[step%rateSteps] -= amount
+	}
+}
+
 func (m *rateMeter) perSecond(now lovageshift.Millis) float64 {
 	m.advance(now)
 	total := 0
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// Refusal.RetryAfter is this many times Refusal.ExpectedWait, within retryMin and retryMax.
+	// Refusal.RetryAfter is this many times Refusal.ExpectedWait, within retryMin and retryMax. A wait that is estimated by the
+	// rates of the last second is not known further ahead than retryMax.
 	retryFactor = 2
 	// Bounds of Refusal.RetryAfter before newRefusal spreads it at random.
 	retryMin lovageshift.Millis = 600
@@ -56,7 +57,8 @@
 }
 
 // newRefusal returns the refusal of a job that would have to wait for the expected time behind ahead others. RetryAfter
-// is spread at random by up to a quarter either way, so that requests refused together are not repeated together.
+// is spread at random by up to a quarter either way, so that requests refused together are not repeated together, but is
+// never before a slot is expected.
 func (s *Scheduler) newRefusal(now lovageshift.Millis, w *Waiter, expected lovageshift.Millis, ahead int) *Refusal {
 	reason := lovageshift.ReasonShed
 	if !s.hasTarget(w.group, w.job) {
@@ -67,8 +69,12 @@
 		after = retryMin // the caller has waited for long already
 	}
 	spread := lovageshift.Millis(rand.Int64N(int64(after)/2 + 1))
+	retryAfter := after - after/4 + spread
+	if !w.job.Resumes {
+		retryAfter = max(retryAfter, min(expected, retryMax))
+	}
 	return &Refusal{
-		Reason: reason, RetryAfter: after - after/4 + spread, Waited: now - w.job.Arrived, ExpectedWait: expected, Ahead: ahead,
+		Reason: reason, RetryAfter: retryAfter, Waited: now - w.job.Arrived, ExpectedWait: expected, Ahead: ahead,
 		Obstacles: s.obstacles(now, w),
 	}
 }
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -20,7 +20,9 @@
 	target *targetState // nil if none is granted
 	job    *Job
 	at     lovageshift.Millis // when the slot was first requested
-	reply  Reply              // the current answer to a repeated request
+	// grantedAt is when the slot was granted, 0 if it was not.
+	grantedAt lovageshift.Millis
+	reply     Reply // the current answer to a repeated request
 }
 
 // Reply is the answer of an entry's scheduler, normally the coordinator's, to another entry that requested a slot.
@@ -59,12 +61,12 @@
 	r := &reservation{job: job, at: now}
 	s.reservations[key] = r
 	submitting := true
-	r.waiter = s.submit(now, group, role, job, false, func(chosen *targetState, refusal *Refusal) {
+	r.waiter = s.submit(now, group, role, job, false, func(at lovageshift.Millis, chosen *targetState, refusal *Refusal) {
 		r.reply = Reply{Refusal: refusal}
 		if chosen != nil {
-			r.target = chosen
-			r.reply = Reply{Granted: true, Target: HashOf(chosen.ID), Born: chosen.Born, Running: chosen.running(), KeepsLimit: chosen.limit.inForce(now)}
-			chosen.updatePeer(now, from, func(l *peerLoad) { l.reserved++ })
+			r.target, r.grantedAt = chosen, at
+			r.reply = Reply{Granted: true, Target: HashOf(chosen.ID), Born: chosen.Born, Running: chosen.running(), KeepsLimit: chosen.limit.inForce(at)}
+			chosen.updatePeer(at, from, func(l *peerLoad) { l.reserved++ })
 		}
 		if !submitting {
 			onDecision(r.reply)
@@ -88,6 +90,7 @@
 	t := r.target
 	s.dropReservation(key)
 	if t != nil {
+		t.recordHold(now, r.grantedAt)
 		t.recordResult(now, r.job.PromptTokens, result)
 		s.assignService(now, t.Service)
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -231,20 +231,22 @@
 func (s *Scheduler) Submit(now lovageshift.Millis, group GroupID, role Role, job *Job, onDecision func(Decision)) *Waiter {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.submit(now, group, role, job, true, func(chosen *targetState, refusal *Refusal) {
+	return s.submit(now, group, role, job, true, func(at lovageshift.Millis, chosen *targetState, refusal *Refusal) {
 		if chosen == nil {
 			onDecision(Decision{Refusal: refusal})
 			return
 		}
-		onDecision(Decision{Slot: s.acquire(now, chosen, job)})
+		slot := s.acquire(now, chosen, job)
+		slot.grantedAt = at
+		onDecision(Decision{Slot: slot})
 	})
 }
 
 // submit queues a request, of this entry if own is set.
-func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, role Role, job *Job, own bool, onDecision func(*targetState, *Refusal)) *Waiter {
+func (s *Scheduler) submit(now lovageshift.Millis, group GroupID, role Role, job *Job, own bool, onDecision func(lovageshift.Millis, *targetState, *Refusal)) *Waiter {
 	s.submitted++
 	w := &Waiter{
-		job: job, group: group, role: role, own: own, number: s.submitted, onDecision: onDecision,
+		job: job, group: group, role: role, own: own, number: s.submitted, submittedAt: now, onDecision: onDecision,
 		wellEnough: s.bestPrediction(now, group, job, own),
 	}
 	q := s.queues[group]
--- a/placement/slot.go
+++ b/placement/slot.go
@@ -81,6 +81,7 @@
 	if slot.granter.IsValid() {
 		slot.state.releaseGranted(slot.granter)
 	}
+	slot.state.recordHold(now, slot.grantedAt)
 	slot.state.recordResult(now, slot.promptTokens, result)
 	s.assignService(now, slot.state.Service)
 	if slot.OnRelease != nil {
--- a/placement/target.go
+++ b/placement/target.go
@@ -74,6 +74,9 @@
 	// tokenMeasuredAt, 0 before the first measurement.
 	tokenMillis     float64
 	tokenMeasuredAt lovageshift.Millis
+	// meanHold is the moving average of the milliseconds for which slots that this entry assigned at the target were held, 0
+	// before the first was released.
+	meanHold float64
 	// averages is shared by the targets of the service.
 	averages *serviceAverages
 	// maybeColdUntil and lossColdUntil are the times until which the target may be cold although this entry's view does not say
@@ -207,6 +210,9 @@
 	tokenPerPrompt float64
 	// meanWork is the moving average of the work of the requests that got slots, as estimated by workOf, 0 before the first.
 	meanWork float64
+	// meanHold is the moving average of the milliseconds for which slots that this entry assigned were held, 0 before the
+	// first was released.
+	meanHold float64
 }
 
 // isShort reports whether a job is less work than the average one.
--- a/reservation/groups_test.go
+++ b/reservation/groups_test.go
@@ -143,3 +143,12 @@
 	s := runSeeds(t, 1.1)
 	atMostOneOf(t, 10, s.avoidable, s.refused, "refused while a slot was free")
 }
+
+// TestRefusalsInBursts guards against requests of the most urgent rank that wait without a prospect at the begin of a burst,
+// and against asking twice for each request when coordinators are busiest. One of six waits exceeds its expectation by a
+// standard deviation.
+func TestRefusalsInBursts(t *testing.T) {
+	s := runSeeds(t, 3)
+	atMostOneOf(t, 6, s.late, s.urgent, "refused late")
+	atMostOneOf(t, 2, s.asked-s.refused, s.refused, "asked a second group")
+}
