--- a/gateway/run.go
+++ b/gateway/run.go
@@ -95,6 +95,7 @@
 func (r *request) reserveSlot(ctx context.Context) (*placement.Slot, *lovageshift.Refusal) {
 	g := r.gateway
 	decision := g.reservations.Reserve(ctx, r.job)
+	r.recordGroups(decision)
 	if decision.Slot != nil {
 		r.summary.waited = decision.Slot.Waited
 		r.job.Tried = append(r.job.Tried, placement.HashOf(decision.Slot.Target.ID))
@@ -104,7 +105,7 @@
 	if refusal == nil {
 		refusal = &placement.Refusal{Reason: lovageshift.ReasonShed, RetryAfter: shortRetryAfter}
 	}
-	r.summary.waited, r.summary.obstacles = refusal.Waited, refusal.Obstacles
+	r.summary.waited, r.summary.obstacles, r.summary.elsewhere = refusal.Waited, refusal.Obstacles, refusal.Elsewhere
 	detail := fmt.Sprintf("no place in time: %d ahead, expected wait %d ms", refusal.Ahead, refusal.ExpectedWait)
 	detail += r.countShare(refusal)
 	return nil, lovageshift.NotRun(refusal.Reason, detail).WithRetryAfter(refusal.RetryAfter)
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -62,7 +62,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	w := &Waiter{
-		job: job, group: group, role: role, own: true, number: s.submitted + 1,
+		job: job, group: group, role: role, own: true, number: s.submitted + 1, submittedAt: now,
 		wellEnough: s.bestPrediction(now, group, job, true),
 	}
 	e := Explanation{Group: group}
@@ -79,9 +79,9 @@
 	e.Waiting = len(q.waiters)
 	e.Ahead, aheadOfSameRank = q.ahead(w)
 	if chosen == nil {
-		e.ExpectedWait = q.expectedWait(now, job, e.Ahead, aheadOfSameRank)
+		e.ExpectedWait = q.expectedWait(now, job, e.Ahead, aheadOfSameRank, s.freedPerSecond(group))
 	}
-	if chosen == nil && (w.waitIsOver(now, e.ExpectedWait) || !s.hasTarget(group, job)) {
+	if chosen == nil && (w.waitIsOver(now, e.ExpectedWait+w.margin(now, e.ExpectedWait, e.Ahead)) || !s.hasTarget(group, job)) {
 		chosen = s.choose(now, free, w, (*targetState).completesInTime)
 		if chosen == nil {
 			refusal := s.newRefusal(now, w, e.ExpectedWait, e.Ahead)
