Report an account above its share also while no other account waits

Change: it says so if the rank had requests of other accounts in the last 10 s, and the account is ahead of the floor by more than one request. A test checks the weights that follow from rates.

--- a/placement/job.go
+++ b/placement/job.go
@@ -109,8 +109,8 @@
 	share   *sharing
 	account *fairshare.Account
 	charge  float64
-	// servedBefore is what the account will have been served before this waiter, 0 if no other account waits in its rank. It
-	// is set by queue.arrange.
+	// servedBefore is what the account will have been served before this waiter, 0 if its rank had none of another
+	// account lately. It is set by queue.arrange.
 	servedBefore float64
 	// role is what this entry was to the group at the submission. A coordinator or backup knows the requests at the group's
 	// targets, and so may assign those that are cold (see the package comment) or have a limit.
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -26,7 +26,7 @@
 	// waiting requests were before it there.
 	ExpectedWait lovageshift.Millis
 	Ahead        int
-	// AboveShare reports whether the job's account was above its share of the slots, while requests of other accounts waited.
+	// AboveShare reports whether the job's account was above its share of the slots, see Waiter.aboveShare.
 	AboveShare bool
 	// Obstacles says what kept the job from the targets that can run it, as far as the refusing entry knew them.
 	Obstacles Obstacles
--- a/placement/sharing.go
+++ b/placement/sharing.go
@@ -60,7 +60,7 @@
 	w.share.Add(w.job.Account, w.charge)
 }
 
-// arrange sets queue.order by the waiters. Where requests of one account only wait in a rank, that is the order of
+// arrange sets queue.order by the waiters. Where a rank had requests of one account only lately, that is the order of
 // compareWaiters. A grant to the first of them changes nothing for the others: their account will have been served as much
 // before them.
 func (q *queue) arrange() {
@@ -70,13 +70,11 @@
 	q.arranged = true
 	q.order = append(q.order[:0], q.waiters...)
 	for rest := q.order; len(rest) > 0; {
-		first, several := rest[0], false
-		end := 0
+		first, end := rest[0], 0
 		for ; end < len(rest) && rest[end].promoted == first.promoted && rest[end].job.Rank == first.job.Rank; end++ {
-			several = several || rest[end].account != first.account
 			rest[end].servedBefore = 0
 		}
-		if several && !first.promoted {
+		if first.share.Len() > 1 && !first.promoted {
 			first.share.arrange(rest[:end])
 		}
 		rest = rest[end:]
@@ -96,9 +94,9 @@
 	slices.SortFunc(waiters, compareShares)
 }
 
-// aboveShare reports whether the waiter's account will have been served more than its share before it, while requests of
-// other accounts wait.
-func (w *Waiter) aboveShare() bool { return w.servedBefore > w.share.Floor() }
+// aboveShare reports whether the waiter's account will have been served more than its share before it, if its rank had
+// requests of other accounts lately. An account within its share may be ahead of the floor by the request that it was served last.
+func (w *Waiter) aboveShare() bool { return w.servedBefore > w.share.Floor()+w.charge }
 
 func compareShares(a, b *Waiter) int {
 	if a.servedBefore != b.servedBefore {
--- a/placement/sharing_test.go
+++ b/placement/sharing_test.go
@@ -21,9 +21,9 @@
 	interval, from lovageshift.Millis
 	repeats        bool
 
-	sent, refused, repeated int
-	waiting                 []*submission
-	served, atStart         float64 // work, in tokens
+	sent, refused, repeated, aboveShare int
+	waiting                             []*submission
+	served, atStart                     float64 // work, in tokens
 }
 
 const (
@@ -68,6 +68,9 @@
 					ends[end] = append(ends[end], sub)
 				} else if sub.Refusal != nil {
 					c.refused++
+					if sub.Refusal.AboveShare {
+						c.aboveShare++
+					}
 				}
 				return sub.Slot != nil || sub.Refusal != nil
 			})
@@ -109,6 +112,7 @@
 		for _, small := range clients[1:] {
 			So(small.refused, ShouldEqual, 0)
 		}
+		So(clients[0].aboveShare, ShouldBeGreaterThan, 0)
 		So(clients[0].served, ShouldBeGreaterThan, clients[1].served)
 	})
 }
@@ -117,6 +121,13 @@
 // credit for having been idle. Of two accounts that always have a request waiting, neither is served more for its weight,
 // in any time, than one request of each (the bound of start-time fair queueing).
 func TestSlotsAreSharedByWeight(t *testing.T) {
+	Convey("The weight is the rate divided by the mean rate in the same unit, and 1 without a rate", t, func() {
+		accounts := []*catalog.Account{{ID: "a", Rate: 30}, {ID: "b", Rate: 10}, {ID: "c"}, {ID: "d", Rate: 7, PerRequest: true}, nil}
+		published := catalog.New(1, catalog.Limits{}, nil, accounts[:4], nil)
+		for i, weight := range []float64{1.5, 0.5, 1, 1, 1} {
+			So(published.WeightOf(accounts[i]), ShouldEqual, weight)
+		}
+	})
 	for name, clients := range map[string][]*client{
 		"large and small requests": {{weight: 1, output: 1200}, {weight: 1, output: 60}},
 		"unequal weights":          {{weight: 3, output: 300}, {weight: 1, output: 300}, {weight: 0.5, output: 100}},
