Limit also the unread bodies of requests that a draining entry refuses

Cause: a refusal with Connection: close, as of a draining entry, left the server waiting for the rest of a stalled body without a limit. The rates at which bodies are too slow had no test. Change: only bodies whose reading failed go without the limit; a test in virtual time that 64 kbit/s and pauses of 8 s are served, and a pause of 11 s and a byte in 5 s are not. There is no test of the unread body at a draining entry.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -41,6 +41,7 @@
 	if err == nil {
 		return nil
 	}
+	r.unread = true
 	delivery.CloseUnread(r.w)
 	return r.bodyRefusal(err, source.Owner)
 }
@@ -78,9 +79,10 @@
 	return host
 }
 
-// limitUnread limits how long the server waits for a body that was not read, before it closes the connection.
+// limitUnread limits how long the server waits for the body of a request that is refused before its body was read, after which
+// it closes the connection.
 func (r *request) limitUnread() {
-	if r.gateway.budget != nil && r.held == nil && r.req.ContentLength != 0 && r.w.Header().Get("Connection") != "close" {
+	if r.gateway.budget != nil && r.held == nil && !r.unread && r.req.ContentLength != 0 {
 		_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(unreadLimit))
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -73,6 +73,8 @@
 	body           []byte
 	// held is the memory that is reserved for the body, nil if the request has none.
 	held *memory.Reservation
+	// unread is set if reading the body has failed and the connection is closed after the answer.
+	unread bool
 	// job is the request in the form in which it is submitted to the scheduler, nil until the request waits for a slot.
 	job *placement.Job
 
--- a/memory/body_test.go
+++ b/memory/body_test.go
@@ -8,8 +8,10 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"lovageshift"
@@ -77,3 +79,44 @@
 		t.Fatal(err)
 	}
 }
+
+// sendSlowly sends pieces of a body with pauses between them, until the reader leaves.
+func sendSlowly(caller net.Conn, pieces, size int, pause time.Duration) {
+	for range pieces {
+		if _, err := caller.Write(make([]byte, size)); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Guards against time-outs of callers that are only slow, and against callers that keep a body open with a byte now and then.
+func TestOnlyBodiesWithoutProgressAreTooSlow(t *testing.T) {
+	cases := []struct {
+		name         string
+		pieces, size int
+		pause        time.Duration
+		want         error
+	}{
+		{"64 kbit/s", 4096, 1024, 128 * time.Millisecond, nil},
+		{"pauses of 8 s", 64, 64 << 10, 8 * time.Second, nil},
+		{"a pause of 11 s", 2, 2 << 20, 11 * time.Second, memory.ErrTooSlow},
+		{"a byte in 5 s", 1000, 1, 5 * time.Second, memory.ErrTooSlow},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			caller, server := net.Pipe()
+			var sender errgroup.Group
+			sender.Go(func() error { sendSlowly(caller, c.pieces, c.size, c.pause); return nil })
+			_, _, err := memory.NewBudget(16 << 20).ReadBody(memory.Source{
+				Body: server, Length: memory.Bytes(c.pieces * c.size), Limit: 4 << 20, Clock: lovageshift.NewVirtualClock(),
+				SetReadDeadline: server.SetReadDeadline,
+			})
+			_ = server.Close()
+			_ = sender.Wait()
+			if !errors.Is(err, c.want) {
+				t.Fatal(c.name, err)
+			}
+		})
+	}
+}
