Send second attempts of safe requests while the first one runs

Cause: a safe request waits for a slow target until it is late by three objectives; few such responses dominate the latency.

Change: with gateway.Options.HedgeShare above 0, a request on a route of kind safe is sent to a second target once its response is later than most, if package hedge, the route's attempts and the retry budget allow it and a suitable target has a free slot. The first response below 500 is forwarded, the other leg is canceled and its slot released before that. Reservations for second attempts do not wait; they ask only the coordinator or backup of one group, name unfit targets as tried, and end their patience now, so that no wire field is needed. run.go's attempt is split into newLeg, send and conclude; without a share, it calls these in order, as before. Streams get no second attempts.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"lovageshift/catalog"
 	"lovageshift/discovery"
 	"lovageshift/eventlog"
+	"lovageshift/hedge"
 	"lovageshift/metrics"
 	"lovageshift/placement"
 	"lovageshift/quota"
@@ -65,6 +66,7 @@
 	reservations *reservation.Client
 	meter        *quota.Meter
 	retryBudget  *retry.WindowBudget
+	hedges       *hedge.Policy // nil if no second attempts are sent
 	refused      *refusedRequests
 	suspects     *suspects
 	crashes      *crashes
@@ -106,6 +108,8 @@
 	Retry     retry.Bounds
 	Placement placement.ColdBounds
 	Quota     quota.Tolerance
+	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's requests; 0 for none.
+	HedgeShare float64
 	// FirstStart is set if the whole installation starts for the first time.
 	FirstStart bool
 }
@@ -133,6 +137,9 @@
 		revocation:   options.Revocation,
 		startedAt:    options.Clock.SinceBoot(),
 	}
+	if options.HedgeShare > 0 {
+		g.hedges = hedge.New(options.HedgeShare)
+	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
 	options.Tracker.OnChange(g.viewChanged)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -82,8 +82,8 @@
 	originFound bool
 	// releaseUnknown is set if the stream began at a target whose version is not known.
 	releaseUnknown bool
-	// runs counts the attempts in which a target may have run the request.
-	runs int
+	// runs counts the attempts in which a target may have run the request, inFlight those that have no result yet.
+	runs, inFlight int
 	// answer is the answer to the caller; it begins with the header of a target's response.
 	answer *delivery.Answer
 	// lastEventID is the ID of the last event received that has one, "" before that. Another target resumes the stream
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -43,6 +43,7 @@
 	}
 	r.job = r.newJob()
 	g.retryBudget.RecordRequest(g.clock.Now(), string(r.service))
+	r.recordHedgeable()
 	for {
 		slot, refusal := r.reserveSlot(ctx)
 		if refusal != nil {
@@ -94,7 +95,9 @@
 // If there is neither a slot nor a refusal, it returns a refusal of its own.
 func (r *request) reserveSlot(ctx context.Context) (*placement.Slot, *lovageshift.Refusal) {
 	g := r.gateway
+	began := g.clock.Now()
 	decision := g.reservations.Reserve(ctx, r.job)
+	r.recordSlot(began, decision)
 	if decision.Slot != nil {
 		r.summary.waited = decision.Slot.Waited
 		r.job.Tried = append(r.job.Tried, placement.HashOf(decision.Slot.Target.ID))
@@ -116,29 +119,76 @@
 		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Abandoned})
 		return attemptResult{refusal: refusal, notSent: true, final: !concernsTarget(refusal)}
 	}
-	r.summary.setTarget(slot)
-	r.summary.sentAt = g.clock.Now()
+	l := r.newLeg(ctx, slot)
+	defer l.cancel()
+	if delay, due := r.hedgeDelay(l); due {
+		return r.attemptHedged(ctx, l, delay)
+	}
+	r.send(l)
+	return r.conclude(ctx, l)
+}
+
+// leg is one sending of the request to a target.
+type leg struct {
+	slot    *placement.Slot
+	request *upstream.Request
+	sentAt  lovageshift.Millis
+	// ctx is the context of the leg, which ends with the request's or when cancel is called.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// stopWatch stops the timer for the response header, as described at watchForResponse.
+	stopWatch func() bool
+
+	// The rest is set when send has returned. canceled is set if ctx had ended by then, valid unless watchForResponse has
+	// canceled the leg.
+	response        *upstream.TargetResponse
+	err             error
+	valid, canceled bool
+	endedAt         lovageshift.Millis
+}
+
+// took returns the time until the response header arrived or the leg ended without one.
+func (l *leg) took() lovageshift.Millis { return l.endedAt - l.sentAt }
+
+// newLeg prepares to send the request to the slot's target.
+func (r *request) newLeg(ctx context.Context, slot *placement.Slot) *leg {
+	r.inFlight++
+	l := &leg{slot: slot, request: r.targetRequest(slot), sentAt: r.gateway.clock.Now()}
 	r.logResume(slot)
-	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := r.watchForResponse(slot, cancel)
-	response, err := g.pool.Send(sendCtx, slot.Target, slot.MaxConnections, r.targetRequest(slot))
-	valid := stop()
-	if err != nil {
-		return r.noResponse(ctx, sendCtx, slot, err)
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	l.stopWatch = r.watchForResponse(slot, l.cancel)
+	return l
+}
+
+// send sends the request and reads the response header. It changes the leg only, so that two legs may be sent at the same time.
+func (r *request) send(l *leg) {
+	l.response, l.err = r.gateway.pool.Send(l.ctx, l.slot.Target, l.slot.MaxConnections, l.request)
+	l.valid = l.stopWatch()
+	l.canceled, l.endedAt = l.ctx.Err() != nil, r.gateway.clock.Now()
+}
+
+// conclude returns the result of a leg that has been sent. It forwards the response, if there is one to be forwarded, and
+// releases the slot.
+func (r *request) conclude(ctx context.Context, l *leg) attemptResult {
+	g := r.gateway
+	r.inFlight--
+	r.summary.setTarget(l)
+	r.measure(ctx, l)
+	if l.err != nil {
+		return r.noResponse(ctx, l, l.err)
 	}
-	defer response.Close()
-	r.recordLimit(slot, response.Decoded)
-	if !valid && !response.Decoded.NotRun {
-		return r.noResponse(ctx, sendCtx, slot, errAttemptCanceled)
+	defer l.response.Close()
+	r.recordLimit(l.slot, l.response.Decoded)
+	if !l.valid && !l.response.Decoded.NotRun {
+		return r.noResponse(ctx, l, errAttemptCanceled)
 	}
-	r.summary.firstByte = g.clock.Now() - r.summary.sentAt
-	if response.Decoded.NotRun {
-		g.scheduler.Release(g.clock.Now(), slot, placement.Result{Outcome: placement.Refused})
+	r.summary.firstByte = l.took()
+	if l.response.Decoded.NotRun {
+		g.scheduler.Release(g.clock.Now(), l.slot, placement.Result{Outcome: placement.Refused})
 		return attemptResult{refusal: lovageshift.NotRun(lovageshift.ReasonTargetOutOfService, "the target turned it away")}
 	}
 	r.runs++
-	return r.forward(ctx, cancel, slot, response)
+	return r.forward(ctx, l.cancel, l.slot, l.response)
 }
 
 // concernsTarget reports whether a refusal of recheck is due to the target, so that another one may get the request.
@@ -187,15 +237,17 @@
 	}
 }
 
-// mayRunAgain reports whether the request may run once more, at another target, even if the target of the current
-// attempt runs it.
-func (r *request) mayRunAgain() bool { return r.route.Repeatable() && r.runs+1 < r.route.Attempts }
+// mayRunAgain reports whether the request may run once more, at another target, even if the targets to which it is being sent
+// run it.
+func (r *request) mayRunAgain() bool {
+	return r.route.Repeatable() && r.runs+r.inFlight < r.route.Attempts
+}
 
 // noResponse releases the slot and returns the result of an attempt that got no valid response header, or got it only
 // after the attempt had been canceled. The request is reported as not run only if no byte of it was sent; otherwise the
-// outcome is unknown. If sendCtx has ended and ctx has not, watchForResponse has canceled the attempt.
-func (r *request) noResponse(ctx, sendCtx context.Context, slot *placement.Slot, err error) attemptResult {
-	g := r.gateway
+// outcome is unknown. If the leg was canceled and ctx has not ended, watchForResponse has canceled it.
+func (r *request) noResponse(ctx context.Context, l *leg, err error) attemptResult {
+	g, slot := r.gateway, l.slot
 	now := g.clock.Now()
 	switch {
 	case errors.Is(err, upstream.ErrNotSent) && ctx.Err() != nil:
@@ -209,7 +261,7 @@
 		r.checkSilent(slot)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: r.canceledOutcome(ctx)})
 		return attemptResult{refusal: lovageshift.Unknown(r.interruptReason(ctx), "no answer before it ended")}
-	case sendCtx.Err() != nil:
+	case l.canceled:
 		r.runs++
 		r.checkSilent(slot)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: placement.Failed})
--- a/gateway/summary.go
+++ b/gateway/summary.go
@@ -47,8 +47,10 @@
 	detail string
 }
 
-// setTarget records the target of a new attempt.
-func (s *requestSummary) setTarget(slot *placement.Slot) {
+// setTarget records the target of an attempt that has been sent, and when it was.
+func (s *requestSummary) setTarget(l *leg) {
+	slot := l.slot
+	s.sentAt = l.sentAt
 	s.target, s.zone, s.release, s.running = slot.Target.ID, slot.Target.Zone, slot.Target.Version, slot.Running
 	s.firstByte, s.firstEvent, s.targetEvents, s.sound = 0, 0, 0, false
 }
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -27,8 +27,10 @@
 	minMediansLeft = 2
 	// After a request waited for a slot or was refused one, its service gets no second attempts for this long.
 	shortageMillis lovageshift.Millis = 1000
-	// A request has waited for a slot if it took longer than this share of its objective to get one.
-	shortageShare = 0.1
+	// A request has waited for a slot if it took longer than this share of its objective to get one, and longer than a question
+	// to another entry and its answer take.
+	shortageShare                    = 0.1
+	minShortage   lovageshift.Millis = 10
 )
 
 // Verdict says what became of a second attempt. It is the label value of the metric and the log line.
@@ -95,7 +97,7 @@
 
 // RecordSlot records how long a request waited for its slot, and whether it was refused one.
 func (p *Policy) RecordSlot(now lovageshift.Millis, service catalog.ServiceID, objective, waited lovageshift.Millis, refused bool) {
-	if !refused && waited <= shareOf(objective, shortageShare) {
+	if !refused && waited <= max(shareOf(objective, shortageShare), minShortage) {
 		return
 	}
 	p.mutex.Lock()
--- a/hedge/times.go
+++ b/hedge/times.go
@@ -52,7 +52,7 @@
 type window struct {
 	began             lovageshift.Millis // when the current one began
 	current, previous *hdrhistogram.Histogram
-	// cached is the last measurement, made at cachedAt.
+	// cached is the last measurement, made at cachedAt; it is not used if it is not known.
 	cached   measurement
 	cachedAt lovageshift.Millis
 }
@@ -115,7 +115,7 @@
 		return measurement{}
 	}
 	w.turn(now)
-	if w.cachedAt > 0 && now-w.cachedAt < measureInterval {
+	if w.cached.known && now-w.cachedAt < measureInterval {
 		return w.cached
 	}
 	all := newHistogram()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -29,6 +29,9 @@
 	// Retries counts retries by the reason of the refusal that ended the preceding attempt, even if nothing had been sent
 	// in that attempt. An agent that resumes an engine's broken stream counts a retry with the reason streamResumed.
 	Retries Name = "lovageshift_retries"
+	// Hedges counts second attempts, sent while the first one runs, by hedge.Verdict: sent, won (also counted as sent) or why a
+	// second attempt that was due was not sent.
+	Hedges Name = "lovageshift_hedges"
 	// Responses counts requests by how they ended. Entries that reach targets without agents count answered, brokenOff
 	// and refused; agents and the entries that use agents count only complete responses, as whole.
 	Responses Name = "lovageshift_answers"
@@ -79,7 +82,7 @@
 
 var counterNames = []Name{
 	Refusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
-	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed,
+	StoreCalls, RecordChanges, PeerMessages, TargetConnections, StreamsResumed, Hedges,
 }
 
 // Counts holds the value of one counter for each label value.
