--- a/cmd/lovageshift/gateway.go
+++ b/cmd/lovageshift/gateway.go
@@ -5,8 +5,10 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"lovageshift/hedge"
 	"lovageshift/platform"
 	"lovageshift/process"
 )
@@ -31,20 +33,32 @@
 path of the settings file is taken from ` + platform.SettingsVariable + `. SIGTERM stops the
 entry gracefully. SIGHUP or a change of the file makes it reload the settings; only
 changes of the store's address, the seeds and the grace period take effect without a
-restart.`
+restart.
+
+With --` + hedgeShareFlag + ` above 0, a safe request whose response is slow is sent to a second target
+while the first one runs. The share limits such second attempts in the requests of a
+service.`
+
+const hedgeShareFlag = "hedge-share"
 
 func gatewayCommand() *cobra.Command {
-	return &cobra.Command{
+	var options process.GatewayOptions
+	command := &cobra.Command{
 		Use:   gatewayName,
 		Short: "Run an entry on the users' platform",
 		Long:  gatewayHelp,
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			if !(options.HedgeShare >= 0 && options.HedgeShare <= hedge.MaxShare) { // not a number is neither
+				return trace.BadParameter("--%s: %v is not from 0 to %v", hedgeShareFlag, options.HedgeShare, hedge.MaxShare)
+			}
 			path, err := settingsPath()
 			if err != nil {
 				return err
 			}
-			return process.RunGateway(command.Context(), path, hangups)
+			return process.RunGateway(command.Context(), path, hangups, options)
 		},
 	}
+	command.Flags().Float64Var(&options.HedgeShare, hedgeShareFlag, 0, "largest share of second attempts of safe requests, 0 to 0.5")
+	return command
 }
--- a/process/drain_test.go
+++ b/process/drain_test.go
@@ -41,7 +41,7 @@
 	vm, path := newVM(t, server.Listener.Addr().String())
 	ctx, stop := context.WithCancel(context.Background())
 	e := &platformEntry{vm: vm, stop: stop}
-	e.group.Go(func() error { return process.RunGateway(ctx, path, nil) })
+	e.group.Go(func() error { return process.RunGateway(ctx, path, nil, process.GatewayOptions{}) })
 	e.end = func() {
 		stop()
 		So(e.group.Wait(), ShouldBeNil)
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -44,11 +44,18 @@
 	operatorPortOffset = 1
 )
 
+// GatewayOptions are the options of an entry on the users' platform that its settings file does not hold.
+type GatewayOptions struct {
+	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's requests, from 0 for none
+	// to hedge.MaxShare.
+	HedgeShare float64
+}
+
 // RunGateway runs an entry that reaches targets without agents, with the settings file of the users' platform at the
 // path. It returns after the context has ended and the entry is drained. The settings are read again on each signal from
 // hangups and when the file changes. Only changes of the store's address, the seeds and the grace period take effect
 // without a restart.
-func RunGateway(ctx context.Context, path string, hangups <-chan os.Signal) error {
+func RunGateway(ctx context.Context, path string, hangups <-chan os.Signal, options GatewayOptions) error {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -59,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newGatewayProcess(path, settings, log, m)
+	p, err := newGatewayProcess(path, settings, options, log, m)
 	if err != nil {
 		return err
 	}
@@ -76,11 +83,13 @@
 	tracker  *discovery.Tracker
 	gateway  *gateway.Gateway
 	node     *exchange.Node
+	// hedgeShare is GatewayOptions.HedgeShare.
+	hedgeShare float64
 }
 
 // newGatewayProcess assembles the parts and opens the port for messages between entries.
 func newGatewayProcess(
-	path string, settings platform.Settings, log *eventlog.Log, m *metrics.Metrics,
+	path string, settings platform.Settings, options GatewayOptions, log *eventlog.Log, m *metrics.Metrics,
 ) (*gatewayProcess, error) {
 	clock := lovageshift.NewClock()
 	watcher := newSettingsWatcher(path, settings, log)
@@ -97,7 +106,7 @@
 		Placement: placement.ColdBounds{ColdOvershoot: bounds.ColdOvershoot, ColdSlack: bounds.ColdSlack},
 		Quota:     quota.Tolerance{Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack},
 
-		FirstStart: settings.FirstStart,
+		FirstStart: settings.FirstStart, HedgeShare: options.HedgeShare,
 	})
 	self, err := netip.ParseAddr(settings.Host)
 	if err != nil {
@@ -119,7 +128,7 @@
 	watcher.onChange = func(changed platform.Settings) { node.SetSeeds(changed.Seeds) }
 	return &gatewayProcess{
 		settings: settings, clock: clock, log: log, metrics: m,
-		watcher: watcher, tracker: tracker, gateway: g, node: node,
+		watcher: watcher, tracker: tracker, gateway: g, node: node, hedgeShare: options.HedgeShare,
 	}, nil
 }
 
@@ -138,7 +147,7 @@
 		return trace.Wrap(err, "listen for operators")
 	}
 	p.log.Info("start", "version", lovageshift.Version, "callers", p.settings.CallerAddress, "zone", p.settings.Zone,
-		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart)
+		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart, "hedgeShare", p.hedgeShare)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, background := errgroup.WithContext(background)
--- a/process/gateway_test.go
+++ b/process/gateway_test.go
@@ -93,7 +93,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		hangups := make(chan os.Signal, 1)
 		var run errgroup.Group
-		run.Go(func() error { return process.RunGateway(ctx, path, hangups) })
+		run.Go(func() error { return process.RunGateway(ctx, path, hangups, process.GatewayOptions{}) })
 		waitForStatus("http://"+vm.ReadinessAddress()+"/-/ready", http.StatusOK)
 
 		operators := fmt.Sprintf("http://%s:%d", vm.Host, firstPort+11)
@@ -116,15 +116,15 @@
 	})
 	Convey("An error about invalid settings names the file and the field", t, func() {
 		vm, path := newVM(t, "nowhere")
-		err := process.RunGateway(context.Background(), path, nil)
+		err := process.RunGateway(context.Background(), path, nil, process.GatewayOptions{})
 		So(err, ShouldNotBeNil)
 		So(err.Error(), ShouldContainSubstring, path)
 		So(err.Error(), ShouldContainSubstring, "platform.address")
 		vm.Store, vm.Name = "127.0.0.1:1", ""
 		writeSettings(t, vm, path)
-		So(process.RunGateway(context.Background(), path, nil).Error(), ShouldContainSubstring, "node_name")
+		So(process.RunGateway(context.Background(), path, nil, process.GatewayOptions{}).Error(), ShouldContainSubstring, "node_name")
 		So(os.WriteFile(path, []byte("{"), 0o600), ShouldBeNil)
-		So(process.RunGateway(context.Background(), path, nil).Error(), ShouldContainSubstring, path)
-		So(process.RunGateway(context.Background(), filepath.Join(path, "none"), nil), ShouldNotBeNil)
+		So(process.RunGateway(context.Background(), path, nil, process.GatewayOptions{}).Error(), ShouldContainSubstring, path)
+		So(process.RunGateway(context.Background(), filepath.Join(path, "none"), nil, process.GatewayOptions{}), ShouldNotBeNil)
 	})
 }
