Say of which requests the share of second attempts is taken

Cause: only safe requests count toward the share, which the texts left open.

Change: texts of the flag, the options and the documents.

--- a/cmd/lovageshift/gateway.go
+++ b/cmd/lovageshift/gateway.go
@@ -36,8 +36,8 @@
 restart.
 
 With --` + hedgeShareFlag + ` above 0, a safe request whose response is slow is sent to a second target
-while the first one runs. The share limits such second attempts in the requests of a
-service.`
+while the first one runs. The share limits such second attempts in the safe requests
+of a service.`
 
 const hedgeShareFlag = "hedge-share"
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 	Retry     retry.Bounds
 	Placement placement.ColdBounds
 	Quota     quota.Tolerance
-	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's requests; 0 for none.
+	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's safe requests; 0 for none.
 	HedgeShare float64
 	// FirstStart is set if the whole installation starts for the first time.
 	FirstStart bool
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -73,8 +73,8 @@
 	shortAt map[catalog.ServiceID]lovageshift.Millis
 }
 
-// New returns a policy without measured times. The share, above 0 and at most MaxShare, is that of the second attempts in all
-// requests of a service in any window of limitWindow.
+// New returns a policy without measured times. The share, above 0 and at most MaxShare, is that of the second attempts in the
+// requests of a service that may get one, in any window of limitWindow.
 func New(share float64) *Policy {
 	return &Policy{
 		limit: retry.NewWindowBudget(retry.Bounds{Ratio: share, Window: limitWindow}),
@@ -82,7 +82,7 @@
 	}
 }
 
-// RecordRequest counts a request, once whatever the number of its attempts.
+// RecordRequest counts a request that may get a second attempt, once whatever the number of its attempts.
 func (p *Policy) RecordRequest(now lovageshift.Millis, service catalog.ServiceID) {
 	p.limit.RecordRequest(now, string(service))
 }
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -46,7 +46,7 @@
 
 // GatewayOptions are the options of an entry on the users' platform that its settings file does not hold.
 type GatewayOptions struct {
-	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's requests, from 0 for none
+	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's safe requests, from 0 for none
 	// to hedge.MaxShare.
 	HedgeShare float64
 }
