--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"lovageshift/catalog"
 	"lovageshift/discovery"
 	"lovageshift/eventlog"
+	"lovageshift/hedge"
 	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/placement"
@@ -67,6 +68,7 @@
 	meter        *quota.Meter
 	budget       *memory.Budget // nil for no limit
 	retryBudget  *retry.WindowBudget
+	hedges       *hedge.Policy // nil if no second attempts are sent
 	refused      *refusedRequests
 	suspects     *suspects
 	crashes      *crashes
@@ -111,6 +113,8 @@
 	Quota     quota.Tolerance
 	// Budget limits the memory of callers' bodies, nil for no limit.
 	Budget *memory.Budget
+	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's safe requests; 0 for none.
+	HedgeShare float64
 	// FirstStart is set if the whole installation starts for the first time.
 	FirstStart bool
 }
@@ -140,6 +144,9 @@
 		revocation:   options.Revocation,
 		startedAt:    options.Clock.SinceBoot(),
 	}
+	if options.HedgeShare > 0 {
+		g.hedges = hedge.New(options.HedgeShare)
+	}
 	g.crashes = newCrashes(options.Clock, options.Log, func() bool { return 2*g.liveEntries.Load() < g.knownEntries.Load() })
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
 	options.Tracker.OnChange(g.viewChanged)
