Check both crowd tests by one function, and shorten gatewayProcess.run

assertWithinLimits holds the assertions of both tests, unchanged and in the same order. The log line of the start and the server for callers have functions of their own.

--- a/placement/explain_test.go
+++ b/placement/explain_test.go
@@ -15,7 +15,9 @@
 // TestExplanationsTellDecisionsAndChangeNone guards against an explanation that differs from what the scheduler then decides, and
 // against one that changes later decisions.
 func TestExplanationsTellDecisionsAndChangeNone(t *testing.T) {
-	Convey("Each job is decided as explained just before, and as without explanations, in an overload of 40 requests of three ranks and four accounts", t, func() {
+	const claim = "Each job is decided as explained just before, and as without explanations, in an overload of 40 requests of three " +
+		"ranks and four accounts"
+	Convey(claim, t, func() {
 		service := &catalog.Service{ID: pool, Engine: true}
 		explained, plain := newScheduler(service, targets(5, 2)...), newScheduler(service, targets(5, 2)...)
 		draws := rand.New(rand.NewPCG(1, 2))
--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -255,6 +255,19 @@
 	return false
 }
 
+// assertWithinLimits asserts that the entry stays within its VM's limits and answers an ordinary request while the connections are
+// open, and answers one after they are closed. It closes them.
+func assertWithinLimits(entry *entryProcess, connections []net.Conn, answered func(body string) bool) {
+	defer closeAll(connections)
+	entry.settle()
+	So(answered("small"), ShouldBeTrue)
+	So(entry.alive(), ShouldBeTrue)
+	So(entry.descriptors(), ShouldBeLessThan, crowdDescriptors-fileDescriptors)
+	So(entry.peakMegabytes(), ShouldBeLessThan, crowdMemoryMB)
+	closeAll(connections)
+	So(answered(crowdFiller), ShouldBeTrue)
+}
+
 // Guards against callers that make an entry hold so much memory, or so many connections, that its VM kills it or that it can no
 // longer serve others.
 func TestEntryStaysWithinItsVMUnderCrowds(t *testing.T) {
@@ -270,14 +283,7 @@
 				So(answered(vm, "small"), ShouldBeTrue)
 
 				connections := sendCrowd(vm.CallerAddress(), gatewayIdentity, crowd.size, crowd.caller)
-				defer closeAll(connections)
-				entry.settle()
-				So(answered(vm, "small"), ShouldBeTrue)
-				So(entry.alive(), ShouldBeTrue)
-				So(entry.descriptors(), ShouldBeLessThan, crowdDescriptors-fileDescriptors)
-				So(entry.peakMegabytes(), ShouldBeLessThan, crowdMemoryMB)
-				closeAll(connections)
-				So(answered(vm, crowdFiller), ShouldBeTrue)
+				assertWithinLimits(entry, connections, func(body string) bool { return answered(vm, body) })
 			})
 		})
 	}
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -153,10 +153,7 @@
 	if err != nil {
 		return trace.Wrap(err, "listen for operators")
 	}
-	p.log.Info("start", "version", lovageshift.Version, "callers", p.settings.CallerAddress, "zone", p.settings.Zone,
-		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart,
-		"bodyBytes", p.limits.Bodies, "runtimeBytes", p.limits.Runtime, "connections", p.limits.Connections,
-		"hedgeShare", p.hedgeShare)
+	p.logStart()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, background := errgroup.WithContext(background)
@@ -176,11 +173,7 @@
 	if err := limitedListener.RegisterGauges(p.metrics); err != nil {
 		return err
 	}
-	callerServer := &http.Server{
-		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: limitedListener.ConnState,
-		BaseContext: func(net.Listener) context.Context { return requests },
-	}
+	callerServer := p.newCallerServer(requests, limitedListener)
 	tasks.Go(func() error { return serve(callerServer, limitedListener) })
 	tasks.Go(func() error {
 		defer stop()
@@ -197,6 +190,23 @@
 	return tasks.Wait()
 }
 
+// logStart logs the settings with which the entry starts.
+func (p *gatewayProcess) logStart() {
+	p.log.Info("start", "version", lovageshift.Version, "callers", p.settings.CallerAddress, "zone", p.settings.Zone,
+		"store", p.settings.StoreAddress, "seeds", len(p.settings.Seeds), "firstStart", p.settings.FirstStart,
+		"bodyBytes", p.limits.Bodies, "runtimeBytes", p.limits.Runtime, "connections", p.limits.Connections,
+		"hedgeShare", p.hedgeShare)
+}
+
+// newCallerServer returns the server for callers that the listener accepts. The context is the parent of those of their requests.
+func (p *gatewayProcess) newCallerServer(requests context.Context, listener *memory.Listener) *http.Server {
+	return &http.Server{
+		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: listener.ConnState,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
+}
+
 // callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
 func (p *gatewayProcess) callersFull() {
 	p.log.Info("callersFull", "connections", p.limits.Connections, "bodiesReading", p.budget.Usage().Bodies)
--- a/process/servecrowd_test.go
+++ b/process/servecrowd_test.go
@@ -116,14 +116,7 @@
 				So(answeredAt(address, "small"), ShouldBeTrue)
 
 				connections := sendCrowd(address, "", crowd.size, crowd.caller)
-				defer closeAll(connections)
-				entry.settle()
-				So(answeredAt(address, "small"), ShouldBeTrue)
-				So(entry.alive(), ShouldBeTrue)
-				So(entry.descriptors(), ShouldBeLessThan, crowdDescriptors-fileDescriptors)
-				So(entry.peakMegabytes(), ShouldBeLessThan, crowdMemoryMB)
-				closeAll(connections)
-				So(answeredAt(address, crowdFiller), ShouldBeTrue)
+				assertWithinLimits(entry, connections, func(body string) bool { return answeredAt(address, body) })
 			})
 		})
 	}
