--- a/placement/expect.go
+++ b/placement/expect.go
@@ -57,5 +57,6 @@
 // its entry asks another group, it counts there.
 func (q *queue) recordRefusal(now lovageshift.Millis, w *Waiter) {
 	q.resuming.recordRefusal(w)
+	q.takeBack(w)
 	q.arrivals[w.job.Rank].remove(now, w.submittedAt, 1)
 }
--- a/placement/job.go
+++ b/placement/job.go
@@ -109,6 +109,8 @@
 	// promoted reports whether the waiter goes before all that are not promoted, whatever their rank. queue.promote
 	// sets it and deducts the request's work from the credit of its rank (see queue.credit), or queue.promoteResuming does.
 	promoted bool
+	// credited is the work that queue.promote deducted, 0 if it did not promote the waiter.
+	credited float64
 	// share divides the slots of the waiter's rank, account is the count of its account there, and charge what a slot for it
 	// adds to that count.
 	share   *sharing
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -28,7 +28,7 @@
 
 // queue holds a group's waiting requests. They get slots in this order: promoted ones first (see promote), then by rank,
 // the smallest number first. Within a rank, the accounts that were served the least for their weight are first (see
-// sharing). Of one account, requests that were not refused before are first, as they can still meet their objective; then the
+// sharing); those that do not wait are last (see Waiter.isSpare). Of one account, requests that were not refused before are first, as they can still meet their objective; then the
 // order of submission decides.
 type queue struct {
 	// waiters holds the requests in that order, but for the accounts (see compareWaiters).
@@ -89,9 +89,14 @@
 	work := workOf(w.job)
 	q.grants.add(now, 1)
 	q.grantedWork.add(now, int(work))
-	w.chargeShare()
+	if !w.promoted {
+		w.share.RaiseFloor(w.account.Served())
+		w.chargeShare(1)
+	}
 	if !w.job.Resumes {
-		q.resuming.grants.add(now, 1)
+		if !w.isSpare() {
+			q.resuming.grants.add(now, 1)
+		}
 	} else if !w.promoted {
 		q.resuming.settle(w)
 	}
@@ -113,7 +118,7 @@
 		var chosen *Waiter
 		for i, w := range q.order {
 			first := i > 0 && q.order[i-1].job.Rank < w.job.Rank
-			if first && !w.promoted && workOf(w.job) <= q.credit[w.job.Rank] {
+			if first && !w.promoted && !w.isSpare() && workOf(w.job) <= q.credit[w.job.Rank] {
 				chosen = w
 				break
 			}
@@ -121,20 +126,32 @@
 		if chosen == nil {
 			return
 		}
-		q.credit[chosen.job.Rank] -= workOf(chosen.job)
+		chosen.credited = workOf(chosen.job)
+		q.credit[chosen.job.Rank] -= chosen.credited
+		chosen.share.RaiseFloor(chosen.account.Served())
 		q.putFirst(chosen)
 	}
 }
 
-// putFirst makes a waiter one of the promoted ones.
+// putFirst makes a waiter one of the promoted ones, and counts its work as served to its account, so that the next one of its
+// rank may be that of another account.
 func (q *queue) putFirst(w *Waiter) {
 	q.resuming.settle(w)
+	w.chargeShare(1)
 	q.remove(w)
 	w.promoted = true
 	q.insert(w)
 	q.arrange()
 }
 
+// takeBack reverts what was counted for a promoted waiter that leaves the queue without a slot.
+func (q *queue) takeBack(w *Waiter) {
+	if w.promoted {
+		w.chargeShare(-1)
+		q.credit[w.job.Rank] += w.credited
+	}
+}
+
 func compareWaiters(a, b *Waiter) int {
 	switch {
 	case a.promoted != b.promoted:
@@ -144,6 +161,11 @@
 		return 1
 	case a.job.Rank != b.job.Rank:
 		return cmp.Compare(a.job.Rank, b.job.Rank)
+	case a.isSpare() != b.isSpare():
+		if b.isSpare() {
+			return -1
+		}
+		return 1
 	case a.job.RefusedBefore != b.job.RefusedBefore:
 		if b.job.RefusedBefore {
 			return -1
@@ -181,12 +203,15 @@
 
 // expectedWait estimates how much longer a job will wait behind ahead others, of which aheadOfSameRank have its rank.
 // It assumes that slots come free at the rate at which they were granted in the last second, or at the rate freed a second
-// if that is known and lower, and that more urgent requests keep arriving at the rate of the last second and get those
+// if that is known and lower, or there was no grant, and that more urgent requests keep arriving at the rate of the last second and get those
 // slots first. The guaranteed share of the job's rank may shorten the wait.
 func (q *queue) expectedWait(now lovageshift.Millis, job *Job, ahead, aheadOfSameRank int, freed float64) lovageshift.Millis {
 	granted := q.grants.perSecond(now)
 	all := granted
-	if freed > 0 {
+	switch {
+	case freed > 0 && granted == 0: // all slots were taken earlier
+		all = freed
+	case freed > 0:
 		all = min(all, freed)
 	}
 	available := all
--- a/placement/resuming.go
+++ b/placement/resuming.go
@@ -23,7 +23,9 @@
 
 func (r *resumingShare) recordArrival(now lovageshift.Millis, w *Waiter) {
 	if !w.job.Resumes {
-		r.arrivals.add(now, 1)
+		if !w.isSpare() { // it shows nothing of the new requests that wait
+			r.arrivals.add(now, 1)
+		}
 		return
 	}
 	r.waiting++
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -278,6 +278,7 @@
 	w.done = true
 	q := s.queues[w.group]
 	q.resuming.recordRefusal(w)
+	q.takeBack(w)
 	q.remove(w)
 	w.leaveShares()
 }
--- a/placement/sharing.go
+++ b/placement/sharing.go
@@ -50,15 +50,11 @@
 // leaveShares removes a waiter that leaves the queue from those of its account.
 func (w *Waiter) leaveShares() { w.share.Leave(w.job.Account) }
 
-// chargeShare counts the work of a waiter that gets a slot as served to its account. The floor follows only grants in the
-// order of the queue: an account whose requests are promoted may be far above its share, and the accounts that were idle
-// meanwhile are not.
-func (w *Waiter) chargeShare() {
-	if !w.promoted {
-		w.share.RaiseFloor(w.account.Served())
-	}
-	w.share.Add(w.job.Account, w.charge)
-}
+// chargeShare counts the work of a waiter that gets a slot, or is promoted, as served to its account that many times. The
+// floor follows the grants in the order of the queue and the promotions by credit, which are in the order of the rank. It does
+// not follow those of streams that go on: an account with many of them may be far above its share, and the accounts that were
+// idle meanwhile are not.
+func (w *Waiter) chargeShare(times float64) { w.share.Add(w.job.Account, times*w.charge) }
 
 // arrange sets queue.order by the waiters. Where a rank had requests of one account only lately, that is the order of
 // compareWaiters. A grant to the first of them changes nothing for the others: their account will have been served as much
@@ -117,7 +113,7 @@
 func (w *Waiter) aboveShare() bool { return w.servedBefore > w.share.Floor()+w.charge }
 
 func compareShares(a, b *Waiter) int {
-	if a.servedBefore != b.servedBefore {
+	if a.isSpare() == b.isSpare() && a.servedBefore != b.servedBefore {
 		return cmp.Compare(a.servedBefore, b.servedBefore)
 	}
 	return compareWaiters(a, b)
--- a/placement/spare.go
+++ b/placement/spare.go
@@ -31,3 +31,7 @@
 func (t *targetState) fitForHedge(now lovageshift.Millis) bool {
 	return !t.mayBeCold(now) && !t.limit.inForce(now) && now >= t.backoffUntil && t.failureShare(now) <= failureShareLimit
 }
+
+// isSpare reports whether the waiter's job takes only a slot that is free at once, such as one for a second attempt. It gets none
+// for which a request of its rank or a more urgent one waits.
+func (w *Waiter) isSpare() bool { return !w.job.Resumes && w.job.QueueDeadline <= w.submittedAt }
