--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -169,7 +169,9 @@
 			defer h.stop()
 			d := h.play(true, []behavior{{never, none}, {never, none}}, func(id string, d *duel) {
 				ctx, cancel := context.WithCancelCause(context.Background())
+				d.mutex.Lock() // the target's goroutine reads it under the mutex
 				d.onBoth = func() { cancel(cause) }
+				d.mutex.Unlock()
 				request := httptest.NewRequestWithContext(ctx, "POST", "http://h/hedged/"+id, nil)
 				request.Header.Set(standin.HeaderRequestID, id)
 				request.Header.Set("Authorization", "Token "+key)
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -76,6 +76,7 @@
 	var entries []*testEntry
 	for i := range count {
 		e := &testEntry{network: n, self: netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), scheduler: placement.NewScheduler(placement.ColdBounds{})}
+		e.scheduler.SetPolicy(placement.Policy{FairShares: true, EarlyRefusals: true})
 		e.scheduler.SetEntries(count, count, 0)
 		e.scheduler.SetView(n.clock.Now(), view)
 		e.client = reservation.NewClient(e.scheduler, n.clock, nil)
