--- a/cmd/lovageshift/where.go
+++ b/cmd/lovageshift/where.go
@@ -31,7 +31,7 @@
 )
 
 func whereCommand() *cobra.Command {
-	var inquiry gateway.Inquiry
+	var query gateway.PlacementQuery
 	var output string
 	c := &cobra.Command{
 		Use:   "where ADDRESS --host HOST --path PATH",
@@ -42,90 +42,90 @@
 			if output != outputText && output != outputJSON {
 				return trace.BadParameter("--output: %q is neither %s nor %s", output, outputText, outputJSON)
 			}
-			whereabouts, err := askWhere(args[0], inquiry)
+			answer, err := askWhere(args[0], query)
 			if err != nil {
 				return err
 			}
 			if output == outputJSON {
 				encoder := json.NewEncoder(command.OutOrStdout())
 				encoder.SetIndent("", "  ")
-				return encoder.Encode(whereabouts)
+				return encoder.Encode(answer)
 			}
-			return printWhereabouts(command.OutOrStdout(), whereabouts)
+			return printPlacement(command.OutOrStdout(), answer)
 		},
 	}
 	flags := c.Flags()
-	flags.StringVar(&inquiry.Host, "host", "", "host of the request")
-	flags.StringVar(&inquiry.Path, "path", "", "path of the request")
-	flags.StringVar(&inquiry.RequestID, "request", "", "request id, which selects among several services of a route")
-	flags.StringVar((*string)(&inquiry.Account), "account", "", "client account of the request")
-	flags.StringVar((*string)(&inquiry.Zone), "zone", "", "availability zone of the entry that sends it (default: that of the entry asked)")
-	flags.Int64Var((*int64)(&inquiry.PromptTokens), "prompt-tokens", 0, "declared tokens of the prompt")
-	flags.Int64Var((*int64)(&inquiry.OutputTokens), "output-tokens", 0, "declared most tokens of the output")
-	flags.Int64Var((*int64)(&inquiry.ExpectedOutput), "expected-output", 0, "caller's estimate of the output's tokens")
-	flags.Int64Var((*int64)(&inquiry.TimeoutMillis), "timeout-millis", 0, "how long the caller waits, in milliseconds")
-	flags.BoolVar(&inquiry.RefusedBefore, "refused-before", false, "the caller repeats a request that was refused")
+	flags.StringVar(&query.Host, "host", "", "host of the request")
+	flags.StringVar(&query.Path, "path", "", "path of the request")
+	flags.StringVar(&query.RequestID, "request", "", "request id, which selects among several services of a route")
+	flags.StringVar((*string)(&query.Account), "account", "", "client account of the request")
+	flags.StringVar((*string)(&query.Zone), "zone", "", "availability zone of the entry that sends it (default: that of the entry asked)")
+	flags.Int64Var((*int64)(&query.PromptTokens), "prompt-tokens", 0, "declared tokens of the prompt")
+	flags.Int64Var((*int64)(&query.OutputTokens), "output-tokens", 0, "declared most tokens of the output")
+	flags.Int64Var((*int64)(&query.ExpectedOutput), "expected-output", 0, "caller's estimate of the output's tokens")
+	flags.Int64Var((*int64)(&query.TimeoutMillis), "timeout-millis", 0, "how long the caller waits, in milliseconds")
+	flags.BoolVar(&query.RefusedBefore, "refused-before", false, "the caller repeats a request that was refused")
 	flags.StringVar(&output, "output", outputText, "output format: text or json")
 	return c
 }
 
 // askWhere asks the entry that serves operators at the IP:port address, and then the other entries that coordinate groups.
-func askWhere(address string, inquiry gateway.Inquiry) (gateway.Whereabouts, error) {
+func askWhere(address string, query gateway.PlacementQuery) (gateway.PlacementAnswer, error) {
 	entry, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return gateway.Whereabouts{}, trace.BadParameter("%q is not IP:port", address)
+		return gateway.PlacementAnswer{}, trace.BadParameter("%q is not IP:port", address)
 	}
-	if err := inquiry.Check(); err != nil {
-		return gateway.Whereabouts{}, err
+	if err := query.Check(); err != nil {
+		return gateway.PlacementAnswer{}, err
 	}
-	whereabouts, err := postInquiry(entry.String(), inquiry)
+	answer, err := postQuery(entry.String(), query)
 	if err != nil {
-		return whereabouts, err
+		return answer, err
 	}
-	inquiry.Zone = whereabouts.Zone
-	for i, group := range whereabouts.Groups {
+	query.Zone = answer.Zone
+	for i, group := range answer.Groups {
 		if group.Own {
 			continue
 		}
 		coordinator := netip.AddrPortFrom(group.Coordinator, entry.Port()).String()
-		answer, err := postInquiry(coordinator, inquiry)
+		remote, err := postQuery(coordinator, query)
 		if err != nil {
-			whereabouts.Groups[i].Problem = err.Error()
+			answer.Groups[i].Problem = err.Error()
 			continue
 		}
-		for _, answered := range answer.Groups {
+		for _, answered := range remote.Groups {
 			if answered.Group == group.Group {
-				whereabouts.Groups[i].Explanation = answered.Explanation
+				answer.Groups[i].Explanation = answered.Explanation
 			}
 		}
 	}
-	return whereabouts, nil
+	return answer, nil
 }
 
-// postInquiry sends the inquiry to the entry that serves operators at the address.
-func postInquiry(address string, inquiry gateway.Inquiry) (gateway.Whereabouts, error) {
-	var whereabouts gateway.Whereabouts
-	content, err := json.Marshal(inquiry)
+// postQuery sends the query to the entry that serves operators at the address.
+func postQuery(address string, query gateway.PlacementQuery) (gateway.PlacementAnswer, error) {
+	var answer gateway.PlacementAnswer
+	content, err := json.Marshal(query)
 	if err != nil {
-		return whereabouts, trace.Wrap(err)
+		return answer, trace.Wrap(err)
 	}
 	client := http.Client{Timeout: showTimeout}
 	response, err := client.Post("http://"+address+"/where", "application/json", bytes.NewReader(content))
 	if err != nil {
-		return whereabouts, trace.Wrap(err, "reach the entry at %s", address)
+		return answer, trace.Wrap(err, "reach the entry at %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return whereabouts, trace.Wrap(err, "read the answer of %s", address)
+		return answer, trace.Wrap(err, "read the answer of %s", address)
 	}
 	if response.StatusCode != http.StatusOK {
-		return whereabouts, trace.BadParameter("%s answers %d: %s", address, response.StatusCode, strings.TrimSpace(string(answer)))
+		return answer, trace.BadParameter("%s answers %d: %s", address, response.StatusCode, strings.TrimSpace(string(body)))
 	}
-	return whereabouts, trace.Wrap(json.Unmarshal(answer, &whereabouts), "decode the answer of %s", address)
+	return answer, trace.Wrap(json.Unmarshal(body, &answer), "decode the answer of %s", address)
 }
 
-func printWhereabouts(out io.Writer, w gateway.Whereabouts) error {
+func printPlacement(out io.Writer, w gateway.PlacementAnswer) error {
 	fmt.Fprintf(out, "route %s, service %s, rank %d\n", w.Route, w.Service, w.Rank)
 	if w.Account != "" {
 		fmt.Fprintf(out, "account %s: costs %d tokens", w.Account, w.Cost)
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -13,8 +13,8 @@
 	"lovageshift/reservation"
 )
 
-// Inquiry describes a request of which an operator asks where it would go now.
-type Inquiry struct {
+// PlacementQuery describes a request of which an operator asks where it would go now.
+type PlacementQuery struct {
 	// Host and Path select the route, as of a caller's request.
 	Host string `json:"host"`
 	Path string `json:"path"`
@@ -36,7 +36,7 @@
 }
 
 // Check returns an error that names the first invalid or missing field.
-func (i Inquiry) Check() error {
+func (i PlacementQuery) Check() error {
 	switch {
 	case i.Host == "":
 		return trace.BadParameter("host: missing")
@@ -60,9 +60,9 @@
 	return nil
 }
 
-// Whereabouts says where a request would go now and why. The body of the request and the parts of its prompt, which may be
+// PlacementAnswer says where a request would go now and why. The body of the request and the parts of its prompt, which may be
 // quarantined, are not considered.
-type Whereabouts struct {
+type PlacementAnswer struct {
 	Route   lovageshift.RouteID   `json:"route"`
 	Service catalog.ServiceID     `json:"service"`
 	Account lovageshift.AccountID `json:"account"`
@@ -83,31 +83,31 @@
 	Groups []reservation.GroupExplanation `json:"groups"`
 }
 
-func (w Whereabouts) refuse(refusal *lovageshift.Refusal) Whereabouts {
+func (w PlacementAnswer) refuse(refusal *lovageshift.Refusal) PlacementAnswer {
 	w.Refused, w.Detail, w.RetryAfter = refusal.Reason, refusal.Detail, refusal.RetryAfter
 	return w
 }
 
 // Where explains where a request would go now, by the code that decides on callers' requests, and changes nothing. Its error
-// names the field of an inquiry that is invalid or names what does not exist.
-func (g *Gateway) Where(inquiry Inquiry) (Whereabouts, error) {
-	if err := inquiry.Check(); err != nil {
-		return Whereabouts{}, err
+// names the field of a query that is invalid or names what does not exist.
+func (g *Gateway) Where(query PlacementQuery) (PlacementAnswer, error) {
+	if err := query.Check(); err != nil {
+		return PlacementAnswer{}, err
 	}
-	key, found := g.anyKeyOf(inquiry.Account)
+	key, found := g.anyKeyOf(query.Account)
 	if !found {
-		return Whereabouts{}, trace.BadParameter("account: no client account %q with a key", inquiry.Account)
+		return PlacementAnswer{}, trace.BadParameter("account: no client account %q with a key", query.Account)
 	}
-	return g.where(inquiry, key), nil
+	return g.where(query, key), nil
 }
 
-func (g *Gateway) where(inquiry Inquiry, key string) Whereabouts {
-	r := g.hypotheticalRequest(inquiry, key)
+func (g *Gateway) where(query PlacementQuery, key string) PlacementAnswer {
+	r := g.hypotheticalRequest(query, key)
 	refusal := r.authorize()
 	if r.route == nil {
-		return Whereabouts{}.refuse(refusal)
+		return PlacementAnswer{}.refuse(refusal)
 	}
-	w := Whereabouts{Route: r.route.ID, Service: r.service, Account: inquiry.Account}
+	w := PlacementAnswer{Route: r.route.ID, Service: r.service, Account: query.Account}
 	if refusal != nil {
 		return w.refuse(refusal)
 	}
@@ -119,9 +119,9 @@
 	if w.Allowance.Wait > r.maxQuotaWait() {
 		return w.refuse(rateRefusal(w.Allowance.Wait))
 	}
-	job := r.jobAfter(inquiry.RefusedBefore)
-	if inquiry.Zone != "" {
-		job.Zone = inquiry.Zone
+	job := r.jobAfter(query.RefusedBefore)
+	if query.Zone != "" {
+		job.Zone = query.Zone
 	}
 	w.Zone = job.Zone
 	w.QueueTime = job.QueueDeadline - job.Arrived
@@ -129,14 +129,14 @@
 	return w
 }
 
-// hypotheticalRequest returns the request of an inquiry, which is not sent.
-func (g *Gateway) hypotheticalRequest(inquiry Inquiry, key string) *request {
+// hypotheticalRequest returns the request of a query, which is not sent.
+func (g *Gateway) hypotheticalRequest(query PlacementQuery, key string) *request {
 	headers := platform.RequestHeader{
-		ID: inquiry.RequestID, CallerTimeout: inquiry.TimeoutMillis, Key: key,
-		HasTokenCounts: inquiry.PromptTokens > 0 || inquiry.OutputTokens > 0,
-		PromptTokens:   inquiry.PromptTokens, OutputTokens: inquiry.OutputTokens, OutputEstimate: inquiry.ExpectedOutput,
+		ID: query.RequestID, CallerTimeout: query.TimeoutMillis, Key: key,
+		HasTokenCounts: query.PromptTokens > 0 || query.OutputTokens > 0,
+		PromptTokens:   query.PromptTokens, OutputTokens: query.OutputTokens, OutputEstimate: query.ExpectedOutput,
 	}
-	return &request{gateway: g, req: &http.Request{Host: inquiry.Host}, path: inquiry.Path, headers: headers, arrived: g.clock.Now()}
+	return &request{gateway: g, req: &http.Request{Host: query.Host}, path: query.Path, headers: headers, arrived: g.clock.Now()}
 }
 
 // anyKeyOf returns a key that the client account holds, and false if there is none. Without an account it returns "" and true.
--- a/placement/assign.go
+++ b/placement/assign.go
@@ -45,7 +45,7 @@
 		}
 		if judge(w) {
 			expected := q.expectedWait(now, w.job, ahead, aheadByRank[w.job.Rank], freed)
-			if w.waitIsOver(now, expected+s.margin(now, w, expected, ahead)) || w.job.HasVersion && !s.hasTarget(group, w.job) {
+			if s.mustGiveUp(now, w, expected, ahead) {
 				s.giveUp(now, q, w, free, expected, ahead)
 				return true, false
 			}
@@ -56,6 +56,15 @@
 	})
 }
 
+// mustGiveUp reports whether a waiter behind ahead others leaves the queue, as it is expected to get no slot in time, or as no target
+// has the version that it needs.
+func (s *Scheduler) mustGiveUp(now lovageshift.Millis, w *Waiter, expected lovageshift.Millis, ahead int) bool {
+	if w.job.HasVersion && !s.hasTarget(w.group, w.job) {
+		return true
+	}
+	return w.waitIsOver(now, expected+s.margin(now, w, expected, ahead))
+}
+
 // waitIsOver reports whether a waiter that is expected to wait for so long leaves the queue. One that goes on with a stream
 // waits until its queue deadline: what was read and written for it so far is lost otherwise.
 func (w *Waiter) waitIsOver(now, expected lovageshift.Millis) bool {
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -78,7 +78,7 @@
 	if chosen == nil {
 		e.ExpectedWait = q.expectedWait(now, job, e.Ahead, aheadOfSameRank, s.freedPerSecond(group))
 	}
-	if chosen == nil && (w.waitIsOver(now, e.ExpectedWait+s.margin(now, w, e.ExpectedWait, e.Ahead)) || !s.hasTarget(group, job)) {
+	if chosen == nil && s.mustGiveUp(now, w, e.ExpectedWait, e.Ahead) {
 		chosen = s.choose(now, free, w, (*targetState).completesInTime)
 		if chosen == nil {
 			refusal := s.newRefusal(now, w, e.ExpectedWait, e.Ahead)
--- a/process/where.go
+++ b/process/where.go
@@ -9,29 +9,29 @@
 	"lovageshift/gateway"
 )
 
-// maxInquiryBytes is the largest size of an inquiry, in bytes.
-const maxInquiryBytes = 64 << 10
+// maxQueryBytes is the largest size of a query, in bytes.
+const maxQueryBytes = 64 << 10
 
-// serveWhere answers an operator's gateway.Inquiry with gateway.Whereabouts, both as JSON.
+// serveWhere answers an operator's gateway.PlacementQuery with gateway.PlacementAnswer, both as JSON.
 func (p *gatewayProcess) serveWhere(w http.ResponseWriter, req *http.Request) {
-	whereabouts, err := p.answerInquiry(w, req)
+	answer, err := p.answerQuery(w, req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(whereabouts); err != nil {
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
 		p.log.Info("whereNotSent", "error", err.Error())
 	}
 }
 
-// answerInquiry decodes an inquiry and answers it; its error names the invalid or missing field.
-func (p *gatewayProcess) answerInquiry(w http.ResponseWriter, req *http.Request) (gateway.Whereabouts, error) {
-	var inquiry gateway.Inquiry
-	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxInquiryBytes))
+// answerQuery decodes a query and answers it; its error names the invalid or missing field.
+func (p *gatewayProcess) answerQuery(w http.ResponseWriter, req *http.Request) (gateway.PlacementAnswer, error) {
+	var query gateway.PlacementQuery
+	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxQueryBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&inquiry); err != nil {
-		return gateway.Whereabouts{}, trace.BadParameter("inquiry: %v", err)
+	if err := decoder.Decode(&query); err != nil {
+		return gateway.PlacementAnswer{}, trace.BadParameter("query: %v", err)
 	}
-	return p.gateway.Where(inquiry)
+	return p.gateway.Where(query)
 }
