Limit unread bodies by one function, and wrap comments

Cause: gateway and entry each had the constant and the condition for bodies that are not read; two comments were longer than a line and one local was named after an earlier type. Change: memory.Budget.LimitUnread serves both; comments and a name; behaviour is as before.

--- a/entry/bodyreader.go
+++ b/entry/bodyreader.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -18,17 +17,12 @@
 	bodyCopies = 4
 	// Interval of log lines about refused bodies.
 	bodyLogMillis lovageshift.Millis = 1000
-	// How long a body that the handler does not read may take to arrive, before the connection is closed.
-	unreadLimit = 5 * time.Second
 )
 
-// limitUnread limits how long the server waits for the body of a request that is answered without it, after which it closes the
-// connection. ReadBody replaces the deadline by its own. Without a memory budget there is no limit.
+// limitUnread limits how long the server waits for the bodies of requests that the handler answers without reading them.
 func (e *Entry) limitUnread(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.options.Budget != nil && r.ContentLength != 0 {
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadLimit))
-		}
+		e.options.Budget.LimitUnread(memory.Bytes(r.ContentLength), http.NewResponseController(w).SetReadDeadline)
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,16 +4,12 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	"lovageshift"
 	"lovageshift/delivery"
 	"lovageshift/memory"
 )
 
-// unreadLimit is how long the rest of the body of a refused request may take to arrive, before the connection is closed.
-const unreadLimit = 5 * time.Second
-
 // readBody reads the whole body, up to the configured limit and within the memory budget.
 func (r *request) readBody() *lovageshift.Refusal {
 	if r.req.ContentLength == 0 {
@@ -69,10 +65,9 @@
 // address returns the IP address of the caller.
 func (r *request) address() string { return memory.HostOf(r.req.RemoteAddr) }
 
-// limitUnread limits how long the server waits for the body of a request that is refused before its body was read, after which
-// it closes the connection.
+// limitUnread limits how long the server waits for the body of a request that is refused before its body was read.
 func (r *request) limitUnread() {
-	if r.gateway.budget != nil && r.held == nil && !r.unread && r.req.ContentLength != 0 {
-		_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(unreadLimit))
+	if r.held == nil && !r.unread {
+		r.gateway.budget.LimitUnread(memory.Bytes(r.req.ContentLength), http.NewResponseController(r.w).SetReadDeadline)
 	}
 }
--- a/gateway/where.go
+++ b/gateway/where.go
@@ -83,9 +83,9 @@
 	Groups []reservation.GroupExplanation `json:"groups"`
 }
 
-func (w PlacementAnswer) refuse(refusal *lovageshift.Refusal) PlacementAnswer {
-	w.Refused, w.Detail, w.RetryAfter = refusal.Reason, refusal.Detail, refusal.RetryAfter
-	return w
+func (a PlacementAnswer) refuse(refusal *lovageshift.Refusal) PlacementAnswer {
+	a.Refused, a.Detail, a.RetryAfter = refusal.Reason, refusal.Detail, refusal.RetryAfter
+	return a
 }
 
 // Where explains where a request would go now, by the code that decides on callers' requests, and changes nothing. Its error
@@ -107,26 +107,26 @@
 	if r.route == nil {
 		return PlacementAnswer{}.refuse(refusal)
 	}
-	w := PlacementAnswer{Route: r.route.ID, Service: r.service, Account: query.Account}
+	answer := PlacementAnswer{Route: r.route.ID, Service: r.service, Account: query.Account}
 	if refusal != nil {
-		return w.refuse(refusal)
+		return answer.refuse(refusal)
 	}
-	w.Rank = r.rank()
+	answer.Rank = r.rank()
 	if r.account != nil {
-		w.Cost = r.quotaCost()
-		w.Allowance = g.meter.Allowance(r.arrived, r.account, w.Cost)
+		answer.Cost = r.quotaCost()
+		answer.Allowance = g.meter.Allowance(r.arrived, r.account, answer.Cost)
 	}
-	if w.Allowance.Wait > r.maxQuotaWait() {
-		return w.refuse(rateRefusal(w.Allowance.Wait))
+	if answer.Allowance.Wait > r.maxQuotaWait() {
+		return answer.refuse(rateRefusal(answer.Allowance.Wait))
 	}
 	job := r.jobAfter(query.RefusedBefore)
 	if query.Zone != "" {
 		job.Zone = query.Zone
 	}
-	w.Zone = job.Zone
-	w.QueueTime = job.QueueDeadline - job.Arrived
-	w.Groups = g.reservations.Explain(r.arrived, job)
-	return w
+	answer.Zone = job.Zone
+	answer.QueueTime = job.QueueDeadline - job.Arrived
+	answer.Groups = g.reservations.Explain(r.arrived, job)
+	return answer
 }
 
 // hypotheticalRequest returns the request of a query, which is not sent.
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -16,7 +16,7 @@
 	// No second attempt is sent before this share of the objective, as a response that arrives by then meets its objective.
 	minDelayShare = 0.1
 	// A second attempt is sent at the latest after this many medians of the measured times. If one target in ten is slow, the
-	// quantile of the share lies among its responses and would be too late.
+	// quantile of the share is one of its responses and would be too late.
 	maxDelayMedians = 3
 	// The smallest quantile of the measured times after which a second attempt is sent. A larger share is kept for times at
 	// which more responses than usual are slow.
--- a/memory/body.go
+++ b/memory/body.go
@@ -31,6 +31,17 @@
 	largestBlock Bytes = 128 << 10
 )
 
+// unreadLimit is how long a body that is not read may take to arrive, before its connection is closed.
+const unreadLimit = 5 * time.Second
+
+// LimitUnread limits how long the server waits for a body of the declared length, -1 if none is declared, of a request that is
+// answered without it. ReadBody replaces the deadline by its own. Without a budget there is no limit.
+func (b *Budget) LimitUnread(length Bytes, setReadDeadline func(time.Time) error) {
+	if b != nil && length != 0 {
+		_ = setReadDeadline(time.Now().Add(unreadLimit))
+	}
+}
+
 // Source is the body of a request.
 type Source struct {
 	Body io.Reader
--- a/placement/expect.go
+++ b/placement/expect.go
@@ -19,10 +19,10 @@
 	t.averages.meanHold = movingAverage(t.averages.meanHold, hold, ratioWeight)
 }
 
-// freedPerSecond estimates how many slots of the group come free in a second, 0 if it is not known or not
-// used (see Policy): at each target as many
-// as requests run there, divided by the time for which its slots were held on average. Unlike the grants of the last second,
-// it does not count the slots that were free when a burst began, and which its first requests have filled.
+// freedPerSecond estimates how many slots of the group come free in a second, 0 if it is not known or not used (see Policy):
+// at each target as many as requests run there, divided by the time for which its slots were held on average. Unlike the
+// grants of the last second, it does not count the slots that were free when a burst began, and which its first requests
+// have filled.
 func (s *Scheduler) freedPerSecond(group GroupID) float64 {
 	if !s.policy.EarlyRefusals {
 		return 0
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -28,8 +28,8 @@
 
 // queue holds a group's waiting requests. They get slots in this order: promoted ones first (see promote), then by rank,
 // the smallest number first. Within a rank, the accounts that were served the least for their weight are first (see
-// sharing); those that do not wait are last (see Waiter.isSpare). Of one account, requests that were not refused before are first, as they can still meet their objective; then the
-// order of submission decides.
+// sharing); those that do not wait are last (see Waiter.isSpare). Of one account, requests that were not refused before are
+// first, as they can still meet their objective; then the order of submission decides.
 type queue struct {
 	// waiters holds the requests in that order, but for the accounts (see compareWaiters).
 	waiters []*Waiter
@@ -203,8 +203,8 @@
 
 // expectedWait estimates how much longer a job will wait behind ahead others, of which aheadOfSameRank have its rank.
 // It assumes that slots come free at the rate at which they were granted in the last second, or at the rate freed a second
-// if that is known and lower, or there was no grant, and that more urgent requests keep arriving at the rate of the last second and get those
-// slots first. The guaranteed share of the job's rank may shorten the wait.
+// if that is known and lower, or there was no grant, and that more urgent requests keep arriving at the rate of the last
+// second and get those slots first. The guaranteed share of the job's rank may shorten the wait.
 func (q *queue) expectedWait(now lovageshift.Millis, job *Job, ahead, aheadOfSameRank int, freed float64) lovageshift.Millis {
 	granted := q.grants.perSecond(now)
 	all := granted
