--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"lovageshift"
+	"lovageshift/connection"
 	"lovageshift/delivery"
 	"lovageshift/grant"
 	"lovageshift/link"
@@ -126,7 +127,8 @@
 	// The background tasks run on while the entry drains, since requests in progress need them.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	limited := memory.NewListener(listener, e.options.MaxConnections, e.options.Clock, e.callersFull)
+	callers := &connection.Listener{Listener: listener, Clock: e.options.Clock, OnUnanswered: e.logUnanswered}
+	limited := memory.NewListener(callers, e.options.MaxConnections, e.options.Clock, e.callersFull)
 	if err := limited.RegisterGauges(e.options.Metrics); err != nil {
 		return err
 	}
@@ -136,7 +138,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       delivery.ConnContext,
-		ConnState:         limited.ConnState,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			callers.ConnState(c, state)
+			limited.ConnState(c, state)
+		},
 	}
 	var tasks errgroup.Group
 	tasks.Go(func() error { return e.node.Run(background) })
@@ -161,6 +166,13 @@
 // callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
 func (e *Entry) callersFull() { e.options.Budget.EvictStalled(e.options.Clock.Now()) }
 
+// logUnanswered logs and counts a connection that was closed although a request on it had no answer.
+func (e *Entry) logUnanswered(c connection.Unanswered) {
+	e.options.Metrics.Add(metrics.ClosedUnanswered, c.State.String(), 1)
+	klog.Infof("entry %s: closed the connection of %s without an answer: state %s, %d bytes, the last one %d ms ago, draining %v",
+		e.options.ID, c.Caller, c.State, c.Received, c.Age, e.draining.Load())
+}
+
 // drain makes the readiness check fail, keeps serving for DrainDelay while the load balancer notices, then accepts no more
 // connections and waits for all responses in progress.
 func (e *Entry) drain(server *http.Server) {
--- a/framing/listener.go
+++ b/framing/listener.go
@@ -72,15 +72,21 @@
 }
 
 // SetLinger sets what happens when the connection is closed, as net.TCPConn.SetLinger does. It returns an error if the
-// underlying connection is not a TCP connection.
+// underlying connection cannot do that.
 func (c *conn) SetLinger(seconds int) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	inner, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return errors.ErrUnsupported
 	}
-	return tcp.SetLinger(seconds)
+	return inner.SetLinger(seconds)
 }
 
+// NetConn returns the connection that was accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// Buffered returns the number of bytes received that Read has not returned yet. It must not be called during a Read.
+func (c *conn) Buffered() int { return len(c.pending) + len(c.ready) }
+
 // fill receives more bytes into pending. The ready bytes have all been read.
 func (c *conn) fill() error {
 	if c.body.inBody() && len(c.pending) == 0 {
--- a/memory/listener.go
+++ b/memory/listener.go
@@ -187,6 +187,9 @@
 	return err
 }
 
+// NetConn returns the connection that was accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SetLinger sets what happens when the connection is closed, as net.TCPConn.SetLinger does. It returns an error if the underlying
 // connection cannot do that.
 func (c *conn) SetLinger(seconds int) error {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -67,6 +67,9 @@
 	TargetConnections Name = "lovageshift_target_connections"
 	// PossibleRestarts counts when a target may have restarted unnoticed, by what showed it: idleEnded, or unconnected.
 	PossibleRestarts Name = "lovageshift_target_gaps"
+	// ClosedUnanswered counts callers' connections that this process closed although bytes of a request without an answer had
+	// arrived, by the state of the connection: new or idle if the header was not whole, else active.
+	ClosedUnanswered Name = "lovageshift_connections_closed_unanswered"
 )
 
 // Histograms of durations in seconds, by how the request ended (the label values of Responses). Only entries that reach
@@ -91,6 +94,7 @@
 var counterNames = []Name{
 	Refusals, SharedRefusals, Retries, Responses, Dispatches, Configurations, EngineCrashes, Orders, ColdResets,
 	StoreCalls, RecordChanges, PeerMessages, TargetConnections, PossibleRestarts, StreamsResumed, SecondGroups, Hedges,
+	ClosedUnanswered,
 }
 
 // Counts holds the value of one counter for each label value.
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -18,6 +18,7 @@
 
 	"lovageshift"
 	"lovageshift/catalog"
+	"lovageshift/connection"
 	"lovageshift/delivery"
 	"lovageshift/discovery"
 	"lovageshift/eventlog"
@@ -169,12 +170,16 @@
 	tasks.Go(func() error { return serve(operatorServer, operatorListener) })
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
-	framedListener := &framing.Listener{Listener: callerListener, HeaderLimit: p.gateway.HeaderLimit}
+	callers := &connection.Listener{Listener: callerListener, Clock: p.clock, OnUnanswered: p.logUnanswered}
+	framedListener := &framing.Listener{Listener: callers, HeaderLimit: p.gateway.HeaderLimit}
 	limitedListener := memory.NewListener(framedListener, p.limits.Connections, p.clock, p.callersFull)
 	if err := limitedListener.RegisterGauges(p.metrics); err != nil {
 		return err
 	}
-	callerServer := p.newCallerServer(requests, limitedListener)
+	callerServer := p.newCallerServer(requests, func(c net.Conn, state http.ConnState) {
+		callers.ConnState(c, state)
+		limitedListener.ConnState(c, state)
+	})
 	tasks.Go(func() error { return serve(callerServer, limitedListener) })
 	tasks.Go(func() error {
 		defer stop()
@@ -200,11 +205,19 @@
 		"fairShares", p.options.Policy.FairShares, "earlyRefusals", p.options.Policy.EarlyRefusals)
 }
 
-// newCallerServer returns the server for callers that the listener accepts. The context is the parent of those of their requests.
-func (p *gatewayProcess) newCallerServer(requests context.Context, listener *memory.Listener) *http.Server {
+// logUnanswered logs and counts a connection that was closed although a request on it had no answer.
+func (p *gatewayProcess) logUnanswered(c connection.Unanswered) {
+	p.metrics.Add(metrics.ClosedUnanswered, c.State.String(), 1)
+	p.log.Info("closedUnanswered", "caller", c.Caller, "state", c.State.String(), "bytes", c.Received, "ageMillis", c.Age,
+		"openMillis", c.Open, "ready", p.gateway.Ready())
+}
+
+// newCallerServer returns the server for callers. The context is the parent of those of their requests, and the function is told the
+// states of their connections.
+func (p *gatewayProcess) newCallerServer(requests context.Context, connState func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: listener.ConnState,
+		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: connState,
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 }
