Let the reader of a connection decide that no caller uses it

Cause: http.Server decides that a connection is unused, from its own states. It drops a request that it has read whole once it shuts down, and package framing shows it a header only when that is whole. The limit on connections (memory.Listener) decided by the same states, as did the idle timeout and a header that came too slowly. A body that was half there at the end of the grace period was not woken at all.

connection.Listener takes the decision, below framing: only the reader of a connection ends it, after it has seen that no byte has arrived; a part of a header gets an answer.

--- a/memory/begun_test.go
+++ b/connection/begun_test.go
@@ -1,4 +1,4 @@
-package memory_test
+package connection_test
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"testing"
 
 	"lovageshift"
-	"lovageshift/memory"
+	"lovageshift/connection"
 )
 
 // Guards against a full listener that closes the connection on which a request's header is being received.
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := memory.NewListener(inner, 1, lovageshift.NewVirtualClock(), func() {})
+	l := connection.NewListener(inner, connection.Options{Clock: lovageshift.NewVirtualClock(), Limit: 1, OnFull: func() {}})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	read := make(chan struct{}, 10)
 	server.Listener, server.Config.ConnState = readListener{l, read}, func(c net.Conn, state http.ConnState) {
--- a/memory/listener_test.go
+++ b/connection/limit_test.go
@@ -1,4 +1,4 @@
-package memory_test
+package connection_test
 
 import (
 	"net"
@@ -9,7 +9,7 @@
 	"time"
 
 	"lovageshift"
-	"lovageshift/memory"
+	"lovageshift/connection"
 )
 
 // Guards against a full listener that refuses new callers while others are idle, and against one that closes the connection of
@@ -21,7 +21,7 @@
 	}
 	var full atomic.Int64
 	begun, end := make(chan struct{}), make(chan struct{})
-	l := memory.NewListener(inner, 2, lovageshift.NewClock(), func() { full.Add(1) })
+	l := connection.NewListener(inner, connection.Options{Clock: lovageshift.NewClock(), Limit: 2, OnFull: func() { full.Add(1) }})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			begun <- struct{}{}
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -1,10 +1,25 @@
 package connection
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"lovageshift"
+	"lovageshift/metrics"
+)
+
+const (
+	// A connection is unused once nothing has arrived on it for this long since it was accepted or the last answer ended. A caller
+	// that lost a packet sends it again within this time, by the usual timeouts of TCP.
+	unusedMillis lovageshift.Millis = 400
+	// Interval at which a stopping listener looks for unused connections, and Wait for open ones.
+	retireInterval = 20 * time.Millisecond
+	// How long a listener that stops still accepts connections that callers have already opened.
+	lastAcceptTime = 50 * time.Millisecond
 )
 
 // Unanswered describes a connection that this process closed although bytes of a request had arrived on it that got no answer.
@@ -20,52 +35,231 @@
 	Age, Open lovageshift.Millis
 }
 
-// Listener accepts the connections of callers and records what has arrived on them. The server must have ConnState as its
-// http.Server.ConnState.
-type Listener struct {
-	net.Listener
+// Options configures a Listener.
+type Options struct {
 	Clock lovageshift.Clock
+	// Limit is the largest number of open connections, 0 for any number.
+	Limit int
+	// HeaderTimeout is how long a caller may take from the first byte of a request's header to the last.
+	HeaderTimeout time.Duration
+	// OnFull is called repeatedly while the limit is reached and no connection can be closed.
+	OnFull func()
 	// OnUnanswered is called after such a connection was closed.
 	OnUnanswered func(Unanswered)
+	// TooSlow and Stopping are the answers, encoded by Encode, to a request whose header is not whole after HeaderTimeout, or when
+	// the connection must be closed.
+	TooSlow, Stopping []byte
 }
 
-// Accept returns the next connection.
+// Listener accepts the connections of callers and closes those that no caller uses: for want of room, and when the process stops.
+// The server must have ConnState as its http.Server.ConnState. The connections between those that the listener returns and the
+// server's must have a method NetConn, which returns the one below, and if they hold bytes back a method Buffered, which returns
+// their number; one of them must not pass on a header before it is whole.
+type Listener struct {
+	net.Listener
+	options Options
+
+	mutex sync.Mutex
+	open  map[*conn]struct{}
+	shed  int64 // connections closed to make room for others
+
+	freed    chan struct{} // has an item after a connection was closed or became unused
+	stopping chan struct{} // closed by StopAccepting
+	closed   chan struct{} // closed by Close
+	stopOnce sync.Once
+	endOnce  sync.Once
+	tasks    sync.WaitGroup
+}
+
+// NewListener returns a listener that accepts from the listener.
+func NewListener(listener net.Listener, options Options) *Listener {
+	return &Listener{
+		Listener: listener, options: options, open: map[*conn]struct{}{},
+		freed: make(chan struct{}, 1), stopping: make(chan struct{}), closed: make(chan struct{}),
+	}
+}
+
+// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		return nil, l.endAccepting(err)
+	}
+	c := newConn(accepted, l)
+	for !l.add(c) {
+		if !l.makeRoom() {
+			l.options.OnFull()
+		}
+		select {
+		case <-l.closed:
+			return nil, errors.Join(net.ErrClosed, accepted.Close())
+		case <-l.freed:
+		case <-time.After(fullInterval):
+		}
+	}
+	return c, nil
+}
+
+// endAccepting returns the error with which accepting ended. After StopAccepting it waits until the listener is closed, as a server
+// whose listener fails cannot be stopped without cutting requests.
+func (l *Listener) endAccepting(err error) error {
+	select {
+	case <-l.stopping:
+	default:
+		return err
+	}
+	err = l.Listener.Close()
+	<-l.closed
+	return errors.Join(net.ErrClosed, err)
+}
+
+// StopAccepting accepts the connections that callers have already opened, and then no more.
+func (l *Listener) StopAccepting() {
+	l.stopOnce.Do(func() {
+		close(l.stopping)
+		timed, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+		if !ok || timed.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
+			_ = l.Listener.Close()
+		}
+	})
+}
+
+// Close closes the listener, and not its connections.
+func (l *Listener) Close() error {
+	var err error
+	l.endOnce.Do(func() {
+		close(l.closed)
+		err = l.Listener.Close()
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// CloseUnused closes connections as soon as they are unused, until the context ends. Meanwhile the answers to requests must ask to
+// close the connection, so that it is not used again.
+func (l *Listener) CloseUnused(ctx context.Context) {
+	lovageshift.Every(ctx, retireInterval, func() {
+		for _, c := range l.connections() {
+			c.retire(false, unusedMillis)
+		}
+	})
+}
+
+// RefuseBegun answers each request whose header is not whole with Options.Stopping.
+func (l *Listener) RefuseBegun() {
+	for _, c := range l.connections() {
+		c.retire(true, 0)
+	}
+}
+
+// Wait waits until no connection is open, and reports whether that was before the context ended.
+func (l *Listener) Wait(ctx context.Context) bool {
+	for len(l.connections()) > 0 {
+		if ctx.Err() != nil {
+			return false
+		}
+		lovageshift.Pause(ctx, retireInterval)
+	}
+	return true
+}
+
+// Abort closes all connections at once.
+func (l *Listener) Abort() {
+	for _, c := range l.connections() {
+		c.abort()
 	}
-	return &conn{Conn: accepted, listener: l, openedAt: l.Clock.Now()}, nil
+	l.tasks.Wait()
 }
 
-// ConnState records the state of a connection of the listener, which other connections may wrap, as a http.Server reports it.
+// ConnState records the state of a connection, as a http.Server reports it.
 func (l *Listener) ConnState(connection net.Conn, state http.ConnState) {
-	c, buffered := unwrap(connection)
+	c := unwrap(connection)
 	if c == nil {
 		return
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.state = state
-	if state == http.StateIdle {
-		c.received, c.written = buffered, 0
+	if state != http.StateIdle {
+		c.setState(state, 0)
+		return
 	}
+	c.setState(state, buffered(connection))
+	l.notify()
 }
 
-// unwrap returns the listener's connection below the one that a server has, and how many bytes those in between have received and
-// not passed on. It returns nil if there is none.
-func unwrap(connection net.Conn) (c *conn, buffered int) {
+// unwrap returns the listener's connection below the one that a server has, nil if there is none.
+func unwrap(connection net.Conn) *conn {
 	for {
 		if c, ok := connection.(*conn); ok {
-			return c, buffered
+			return c
+		}
+		wrapper, ok := connection.(wrapper)
+		if !ok {
+			return nil
 		}
+		connection = wrapper.NetConn()
+	}
+}
+
+// buffered returns how many bytes the connections between the server's and the listener's have received and not passed on. The
+// server must not be reading.
+func buffered(connection net.Conn) int {
+	count := 0
+	for {
 		if buffer, ok := connection.(interface{ Buffered() int }); ok {
-			buffered += buffer.Buffered()
+			count += buffer.Buffered()
 		}
-		wrapper, ok := connection.(interface{ NetConn() net.Conn })
+		wrapper, ok := connection.(wrapper)
 		if !ok {
-			return nil, 0
+			return count
 		}
 		connection = wrapper.NetConn()
 	}
 }
+
+// wrapper is a connection that reads from another one.
+type wrapper interface{ NetConn() net.Conn }
+
+// RegisterGauges registers gauges for the connections.
+func (l *Listener) RegisterGauges(m *metrics.Metrics) error {
+	open := func() float64 { count, _ := l.Connections(); return float64(count) }
+	shed := func() float64 { _, count := l.Connections(); return float64(count) }
+	if err := m.RegisterGauge("lovageshift_caller_connections", open); err != nil {
+		return err
+	}
+	return m.RegisterGauge("lovageshift_caller_connections_shed", shed)
+}
+
+// Connections returns the number of open connections, and how many were closed to make room for others.
+func (l *Listener) Connections() (open int, shed int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.open), l.shed
+}
+
+// connections returns the open connections, which include those that wait for the caller to close them, too.
+func (l *Listener) connections() []*conn {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	open := make([]*conn, 0, len(l.open))
+	for c := range l.open {
+		open = append(open, c)
+	}
+	return open
+}
+
+// remove removes a closed connection.
+func (l *Listener) remove(c *conn) {
+	l.mutex.Lock()
+	delete(l.open, c)
+	l.mutex.Unlock()
+	l.notify()
+}
+
+// notify wakes up Accept.
+func (l *Listener) notify() {
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"lovageshift"
 	"lovageshift/connection"
 	"lovageshift/delivery"
+	"lovageshift/framing"
 	"lovageshift/grant"
 	"lovageshift/link"
 	"lovageshift/membership"
@@ -58,6 +59,8 @@
 	node     *peer.Node
 	sequence atomic.Uint64 // number of the last dispatch of this incarnation, sent as wire.Start.Sequence
 	draining atomic.Bool
+	// refusing is set once requests that arrive are refused, as the entry stops.
+	refusing atomic.Bool
 	// bodyLoggedAt is when the refusal of a body was last logged.
 	bodyLoggedAt atomic.Int64
 
@@ -127,21 +130,18 @@
 	// The background tasks run on while the entry drains, since requests in progress need them.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := &connection.Listener{Listener: listener, Clock: e.options.Clock, OnUnanswered: e.logUnanswered}
-	limited := memory.NewListener(callers, e.options.MaxConnections, e.options.Clock, e.callersFull)
-	if err := limited.RegisterGauges(e.options.Metrics); err != nil {
+	callers := e.newCallerListener(listener)
+	if err := callers.RegisterGauges(e.options.Metrics); err != nil {
 		return err
 	}
+	framed := &framing.Listener{Listener: callers, HeaderLimit: func() int { return maxHeaderBytes }}
 	server := &http.Server{
 		Handler:           e.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       delivery.ConnContext,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			callers.ConnState(c, state)
-			limited.ConnState(c, state)
-		},
+		ConnState:         callers.ConnState,
 	}
 	var tasks errgroup.Group
 	tasks.Go(func() error { return e.node.Run(background) })
@@ -150,12 +150,12 @@
 	tasks.Go(func() error { return e.pollVMs(background) })
 	tasks.Go(func() error {
 		<-ctx.Done()
-		e.drain(server)
+		e.drain(server, callers)
 		stop()
 		return nil
 	})
 	tasks.Go(func() error {
-		if err := server.Serve(limited); err != http.ErrServerClosed {
+		if err := server.Serve(framed); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
@@ -166,6 +166,16 @@
 // callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
 func (e *Entry) callersFull() { e.options.Budget.EvictStalled(e.options.Clock.Now()) }
 
+// newCallerListener returns the listener that decides when the connections of callers are closed.
+func (e *Entry) newCallerListener(listener net.Listener) *connection.Listener {
+	return connection.NewListener(listener, connection.Options{
+		Clock: e.options.Clock, Limit: e.options.MaxConnections, HeaderTimeout: readHeaderTimeout,
+		OnFull: e.callersFull, OnUnanswered: e.logUnanswered,
+		TooSlow:  encodeRefusal(lovageshift.NotRun(lovageshift.ReasonHeaderTooSlow, "the header came too slowly")),
+		Stopping: encodeRefusal(stoppingRefusal()),
+	})
+}
+
 // logUnanswered logs and counts a connection that was closed although a request on it had no answer.
 func (e *Entry) logUnanswered(c connection.Unanswered) {
 	e.options.Metrics.Add(metrics.ClosedUnanswered, c.State.String(), 1)
@@ -173,13 +183,41 @@
 		e.options.ID, c.Caller, c.State, c.Received, c.Age, e.draining.Load())
 }
 
-// drain makes the readiness check fail, keeps serving for DrainDelay while the load balancer notices, then accepts no more
-// connections and waits for all responses in progress.
-func (e *Entry) drain(server *http.Server) {
+// drain makes the readiness check fail, keeps serving for DrainDelay while the load balancer notices, and refuses requests from then
+// on. It accepts no more connections, closes the open ones as soon as no caller uses them, and waits for all responses in progress.
+func (e *Entry) drain(server *http.Server, callers *connection.Listener) {
 	e.draining.Store(true)
 	klog.Infof("entry %s: draining", e.options.ID)
 	time.Sleep(e.options.DrainDelay)
-	_ = server.Shutdown(context.Background())
+	e.refusing.Store(true)
+	callers.StopAccepting()
+	closing, stopClosing := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { callers.CloseUnused(closing) })
+	callers.Wait(context.Background())
+	stopClosing()
+	tasks.Wait()
+	_ = server.Close()
+	klog.Infof("entry %s: drained", e.options.ID)
+}
+
+// refuseWhileStopping asks callers to close their connections once the entry is draining, and later refuses their requests.
+func (e *Entry) refuseWhileStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		if e.refusing.Load() && r.URL.Path != healthPath {
+			e.refuse(w, stoppingRefusal())
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// stoppingRefusal returns the refusal of a request that arrives while the entry stops.
+func stoppingRefusal() *lovageshift.Refusal {
+	return lovageshift.NotRun(lovageshift.ReasonStopping, "the entry is stopping")
 }
 
 // Ready reports whether callers can be served: a configuration is in force, the entry has tried to compare its revision with
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -12,12 +12,15 @@
 // Only entries and agents set headers with this prefix; a request from a caller must not contain one.
 const internalHeaderPrefix = "Lovageshift-"
 
+// healthPath is the path of the check whether the process lives.
+const healthPath = "/healthz"
+
 // Handler returns the HTTP handler for callers: health and readiness checks, the list of models and completions. All other
 // paths are calls to plain services.
 func (e *Entry) Handler() http.Handler {
 	router := mux.NewRouter()
 	router.UseEncodedPath()
-	router.HandleFunc("/healthz", e.serveHealth).Methods(http.MethodGet)
+	router.HandleFunc(healthPath, e.serveHealth).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", e.serveReady).Methods(http.MethodGet)
 	router.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", e.serveCompletion).Methods(http.MethodPost)
@@ -26,7 +29,7 @@
 	router.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		e.refuse(w, lovageshift.NotRun(lovageshift.ReasonMethodNotAllowed, "the method is not allowed here"))
 	})
-	return e.limitUnread(router)
+	return e.limitUnread(e.refuseWhileStopping(router))
 }
 
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
--- a/entry/response.go
+++ b/entry/response.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"lovageshift"
+	"lovageshift/connection"
 	"lovageshift/delivery"
 	"lovageshift/metrics"
 )
@@ -142,15 +144,29 @@
 // has been sent.
 func (e *Entry) refuse(w http.ResponseWriter, refusal *lovageshift.Refusal) {
 	e.options.Metrics.AddRefusal(refusal.Reason)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderOutcome, refusal.Outcome.String())
-	w.Header().Set(HeaderReason, string(refusal.Reason))
+	setRefusalHeader(w.Header(), refusal)
+	w.WriteHeader(refusal.Reason.Status())
+	_ = json.NewEncoder(w).Encode(newErrorBody(refusal))
+}
+
+// encodeRefusal returns the refusal, encoded, of a request whose header is not known.
+func encodeRefusal(refusal *lovageshift.Refusal) []byte {
+	header := http.Header{}
+	setRefusalHeader(header, refusal)
+	var body strings.Builder
+	_ = json.NewEncoder(&body).Encode(newErrorBody(refusal))
+	return connection.Encode(refusal.Reason.Status(), header, body.String())
+}
+
+// setRefusalHeader sets the header fields of the refusal.
+func setRefusalHeader(header http.Header, refusal *lovageshift.Refusal) {
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderOutcome, refusal.Outcome.String())
+	header.Set(HeaderReason, string(refusal.Reason))
 	if refusal.RetryAfter > 0 {
 		seconds := (refusal.RetryAfter + 999) / 1000
-		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	w.WriteHeader(refusal.Reason.Status())
-	_ = json.NewEncoder(w).Encode(newErrorBody(refusal))
 }
 
 // finish ends a response and counts the result in the metrics. A nil refusal means that the response is complete. Otherwise
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -11,6 +11,7 @@
 
 	"lovageshift"
 	"lovageshift/catalog"
+	"lovageshift/connection"
 	"lovageshift/placement"
 	"lovageshift/platform"
 	"lovageshift/upstream"
@@ -205,17 +206,32 @@
 	r.limitUnread()
 	header := r.w.Header()
 	platform.SetRequestID(header, r.headers.ID)
-	if refusal.RetryAfter > 0 {
-		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
-	}
-	header["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	setRefusalHeader(header, refusal)
 	r.summary.status = statusOf(refusal)
 	r.w.WriteHeader(r.summary.status)
-	_, _ = io.WriteString(r.w, string(refusal.Reason)+"\n")
+	_, _ = io.WriteString(r.w, refusalBody(refusal))
 	r.gateway.metrics.AddRefusal(refusal.Reason)
 	r.logEnd("refused", string(refusal.Reason)+": "+refusal.Detail)
 }
 
+// Refusal returns the refusal, encoded, of a request whose header is not known.
+func Refusal(refusal *lovageshift.Refusal) []byte {
+	header := http.Header{}
+	setRefusalHeader(header, refusal)
+	return connection.Encode(statusOf(refusal), header, refusalBody(refusal))
+}
+
+// setRefusalHeader sets the header fields of the refusal.
+func setRefusalHeader(header http.Header, refusal *lovageshift.Refusal) {
+	if refusal.RetryAfter > 0 {
+		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
+	header["Content-Type"] = []string{"text/plain; charset=utf-8"}
+}
+
+// refusalBody returns the body of the answer with the refusal.
+func refusalBody(refusal *lovageshift.Refusal) string { return string(refusal.Reason) + "\n" }
+
 // prepareRepeat prepares for the caller to send the refused request again: it limits Retry-After to the wait that
 // callers accept (see retryAfterShare), and records the refusal, so that the request is recognized when it is repeated.
 // It does nothing for a refusal without Retry-After, or if the request was refused before it waited for a slot.
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -22,7 +22,7 @@
 	}
 	source := memory.Source{
 		Body: r.req.Body, Length: memory.Bytes(r.req.ContentLength), Limit: memory.Bytes(limit), Owner: r.owner(), Clock: g.clock,
-		SetReadDeadline: http.NewResponseController(r.w).SetReadDeadline,
+		Context: r.req.Context(), SetReadDeadline: http.NewResponseController(r.w).SetReadDeadline,
 	}
 	if g.budget != nil {
 		source.Deadline = r.deadline
@@ -46,6 +46,8 @@
 		detail := fmt.Sprintf("%s; length %d, account and address hold %d bytes of %d; from %s",
 			err, r.req.ContentLength, r.gateway.budget.HeldBy(owner), r.gateway.budget.Usage().Held, r.address())
 		return lovageshift.NotRun(lovageshift.ReasonMemoryExhausted, detail).WithRetryAfter(memory.RetryAfter)
+	case errors.Is(err, ErrStopping):
+		return stoppingRefusal()
 	case errors.Is(err, memory.ErrTooSlow), errors.Is(err, memory.ErrEvicted):
 		return lovageshift.NotRun(lovageshift.ReasonBodyTooSlow, err.Error()+"; from "+r.address())
 	default:
@@ -53,6 +55,11 @@
 	}
 }
 
+// stoppingRefusal returns the refusal of a request that arrives while the entry stops.
+func stoppingRefusal() *lovageshift.Refusal {
+	return lovageshift.NotRun(lovageshift.ReasonStopping, "the entry is stopping").WithRetryAfter(shortRetryAfter)
+}
+
 // owner returns on whose behalf the body is held.
 func (r *request) owner() memory.Owner {
 	account := lovageshift.AccountID("")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if g.refusingNew.Load() {
-		r.refuse(lovageshift.NotRun(lovageshift.ReasonStopping, "the entry is stopping").WithRetryAfter(shortRetryAfter))
+		r.refuse(stoppingRefusal())
 		return
 	}
 	if refusal := r.admit(); refusal != nil {
--- a/memory/body.go
+++ b/memory/body.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"context"
 	"errors"
 	"io"
 	"os"
@@ -55,6 +56,8 @@
 	Clock  lovageshift.Clock
 	// Deadline is when (Clock.Now) the whole body must have arrived, 0 for no bound.
 	Deadline lovageshift.Millis
+	// Context ends reading with its cause, nil for never.
+	Context context.Context
 	// SetReadDeadline sets the time from which on reading from the caller's connection fails. It must be safe for concurrent
 	// use with reading.
 	SetReadDeadline func(time.Time) error
@@ -77,6 +80,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if source.Context != nil {
+		defer context.AfterFunc(source.Context, func() { _ = source.SetReadDeadline(time.Unix(1, 0)) })()
+	}
 	reader := &bodyReader{Source: source, held: held, started: started}
 	body, err := reader.read(first)
 	if err == nil {
@@ -167,6 +173,8 @@
 			return filled, nil
 		case err != nil && r.held.Evicted():
 			return filled, ErrEvicted
+		case err != nil && r.ended() != nil:
+			return filled, r.ended()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return filled, ErrTooSlow
 		case err != nil:
@@ -176,7 +184,7 @@
 	return filled, nil
 }
 
-// setDeadline sets the read deadline for the next read. The error is ErrEvicted.
+// setDeadline sets the read deadline for the next read. The error is ErrEvicted or the cause of the context's end.
 func (r *bodyReader) setDeadline() error {
 	now := r.Clock.Now()
 	deadline := r.Deadline
@@ -188,11 +196,23 @@
 	}
 	r.deadline = deadline
 	_ = r.SetReadDeadline(time.Now().Add((deadline - now).Duration()))
-	// An eviction before SetReadDeadline has had its effect undone.
+	// An eviction or the context's end before SetReadDeadline has had its effect undone.
 	if r.held.Evicted() {
 		return ErrEvicted
 	}
-	return nil
+	return r.ended()
+}
+
+// ended returns the cause of the context's end, nil if it has not ended or was only canceled, as net/http does when reading fails.
+func (r *bodyReader) ended() error {
+	if r.Context == nil {
+		return nil
+	}
+	cause := context.Cause(r.Context)
+	if errors.Is(cause, context.Canceled) {
+		return nil
+	}
+	return cause
 }
 
 // nextDeadline returns when the next byte must arrive of a body whose reading started at the given time and of which the given
--- a/process/drain.go
+++ b/process/drain.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"lovageshift"
+	"lovageshift/connection"
 	"lovageshift/gateway"
 )
 
@@ -14,21 +16,22 @@
 	// them to another entry. If this entry ran a long one, it would have to abort it at the end of the grace period.
 	drainServeMillis lovageshift.Millis = 2800
 	// How long the entry then refuses new requests, with an answer that says that they were not run, before it stops
-	// accepting connections.
+	// accepting connections. On open connections it refuses requests until each connection is closed.
 	drainRefuseMillis lovageshift.Millis = 700
-	// Requests that still run or wait this long before the end of the grace period are ended then, and their connections
-	// closeMargin before it.
+	// Requests that still run, wait or arrive this long before the end of the grace period are ended then, and their
+	// connections closeMargin before it.
 	killMargin  lovageshift.Millis = 300
 	closeMargin lovageshift.Millis = 150
 	// Grace period, which is the time between SIGTERM and SIGKILL, used if the settings give none.
 	defaultGrace lovageshift.Millis = 8000
 )
 
-// drain makes the readiness check fail, serves new requests for drainServeMillis, refuses them for drainRefuseMillis, and
-// then waits for the running requests to end. It ends those that are left killMargin before the end of the grace period, so that
-// callers without an answer get one, and closes the connections closeMargin before it.
-// If the grace period is short, the entry serves for at most a third of it and refuses for at most an eighth of it.
-func (p *gatewayProcess) drain(callerServer *http.Server, endRequests context.CancelCauseFunc) {
+// drain makes the readiness check fail, serves new requests for drainServeMillis, and refuses them from then on. It closes
+// connections as soon as no caller uses them, accepts no more after drainRefuseMillis, and waits for the open ones. It ends the
+// requests that are left killMargin before the end of the grace period, so that callers without an answer get one, and closes the
+// connections closeMargin before it.
+// If the grace period is short, the entry serves for at most a third of it and accepts connections for at most an eighth more.
+func (p *gatewayProcess) drain(server *http.Server, callers *connection.Listener, endRequests context.CancelCauseFunc) {
 	grace := p.watcher.current().Bounds.Grace
 	if grace <= 0 {
 		grace = defaultGrace
@@ -38,20 +41,27 @@
 	p.gateway.Drain()
 	lovageshift.Pause(context.Background(), min(drainServeMillis, grace/3).Duration())
 	p.gateway.RefuseNew()
+	var tasks sync.WaitGroup
+	closing, stopClosing := context.WithCancel(context.Background())
+	tasks.Go(func() { callers.CloseUnused(closing) })
 	lovageshift.Pause(context.Background(), min(drainRefuseMillis, grace/8).Duration())
-	cut := !p.shutdown(callerServer, started+grace-killMargin)
+	callers.StopAccepting()
+	cut := !p.waitForCallers(callers, started+grace-killMargin)
 	if cut {
 		endRequests(gateway.ErrStopping)
-		if !p.shutdown(callerServer, started+grace-closeMargin) {
-			_ = callerServer.Close()
-		}
+		callers.RefuseBegun()
+		p.waitForCallers(callers, started+grace-closeMargin)
 	}
+	stopClosing()
+	tasks.Wait()
+	callers.Abort()
+	_ = server.Close()
 	p.log.Info("stop", "afterMillis", p.clock.Now()-started, "cut", cut)
 }
 
-// shutdown accepts no more connections and waits for the requests to end, until the time. It reports whether all have ended.
-func (p *gatewayProcess) shutdown(callerServer *http.Server, until lovageshift.Millis) bool {
+// waitForCallers waits until the callers have no open connections, or until the time. It reports whether none is open.
+func (p *gatewayProcess) waitForCallers(callers *connection.Listener, until lovageshift.Millis) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), max(until-p.clock.Now(), 0).Duration())
 	defer cancel()
-	return callerServer.Shutdown(ctx) == nil
+	return callers.Wait(ctx)
 }
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -170,24 +170,20 @@
 	tasks.Go(func() error { return serve(operatorServer, operatorListener) })
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
-	callers := &connection.Listener{Listener: callerListener, Clock: p.clock, OnUnanswered: p.logUnanswered}
-	framedListener := &framing.Listener{Listener: callers, HeaderLimit: p.gateway.HeaderLimit}
-	limitedListener := memory.NewListener(framedListener, p.limits.Connections, p.clock, p.callersFull)
-	if err := limitedListener.RegisterGauges(p.metrics); err != nil {
+	callers := p.newCallerListener(callerListener)
+	if err := callers.RegisterGauges(p.metrics); err != nil {
 		return err
 	}
-	callerServer := p.newCallerServer(requests, func(c net.Conn, state http.ConnState) {
-		callers.ConnState(c, state)
-		limitedListener.ConnState(c, state)
-	})
-	tasks.Go(func() error { return serve(callerServer, limitedListener) })
+	framedListener := &framing.Listener{Listener: callers, HeaderLimit: p.gateway.HeaderLimit}
+	callerServer := p.newCallerServer(requests, callers)
+	tasks.Go(func() error { return serve(callerServer, framedListener) })
 	tasks.Go(func() error {
 		defer stop()
 		defer func() { _ = operatorServer.Close() }()
 		defer func() { _ = readyServer.Close() }()
 		select {
 		case <-ctx.Done():
-			p.drain(callerServer, endRequests)
+			p.drain(callerServer, callers, endRequests)
 		case <-background.Done():
 			_ = callerServer.Close()
 		}
@@ -212,12 +208,21 @@
 		"openMillis", c.Open, "ready", p.gateway.Ready())
 }
 
-// newCallerServer returns the server for callers. The context is the parent of those of their requests, and the function is told the
-// states of their connections.
-func (p *gatewayProcess) newCallerServer(requests context.Context, connState func(net.Conn, http.ConnState)) *http.Server {
+// newCallerListener returns the listener that decides when the connections of callers are closed.
+func (p *gatewayProcess) newCallerListener(listener net.Listener) *connection.Listener {
+	return connection.NewListener(listener, connection.Options{
+		Clock: p.clock, Limit: p.limits.Connections, HeaderTimeout: callerHeaderTimeout,
+		OnFull: p.callersFull, OnUnanswered: p.logUnanswered,
+		TooSlow:  gateway.Refusal(lovageshift.NotRun(lovageshift.ReasonHeaderTooSlow, "")),
+		Stopping: gateway.Refusal(lovageshift.NotRun(lovageshift.ReasonStopping, "")),
+	})
+}
+
+// newCallerServer returns the server for callers that the listener accepts. The context is the parent of those of their requests.
+func (p *gatewayProcess) newCallerServer(requests context.Context, callers *connection.Listener) *http.Server {
 	return &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: connState,
+		MaxHeaderBytes: 2 * gateway.MaxHeaderBytes, ConnContext: delivery.ConnContext, ConnState: callers.ConnState,
 		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 }
--- a/refusal.go
+++ b/refusal.go
@@ -29,6 +29,7 @@
 	ReasonBodyTooLarge          Reason = "bodyTooLarge"
 	ReasonBodyUnreadable        Reason = "bodyUnreadable"
 	ReasonBodyInvalid           Reason = "bodyInvalid"
+	ReasonHeaderTooSlow         Reason = "headerTooSlow"   // a part of the header came, and not the rest in time
 	ReasonBodyTooSlow           Reason = "bodyTooSlow"     // the body made too little progress, or stalled while others needed its memory
 	ReasonMemoryExhausted       Reason = "memoryExhausted" // the memory for callers' bodies is in use
 	ReasonPromptTooLong         Reason = "promptTooLong"
@@ -83,7 +84,7 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonBodyUnreadable, ReasonBodyInvalid, ReasonHeaderForbidden, ReasonIdempotencyKeyMissing, ReasonIdempotencyKeyInvalid:
 		return http.StatusBadRequest
-	case ReasonBodyTooSlow:
+	case ReasonHeaderTooSlow, ReasonBodyTooSlow:
 		return http.StatusRequestTimeout
 	case ReasonIdempotencyMismatch, ReasonIdempotencyInProgress, ReasonIdempotencyUnproven, ReasonDuplicate:
 		return http.StatusConflict
