Limit what callers hold by the machine where the settings give no limits

An entry whose settings named neither memory nor descriptors kept whatever callers made it hold, for as long as they wished: bodies that never end, and any number of connections.

Cause: without these figures there was no budget, no deadline for bodies and no limit of connections, and 0, which the sample of serve and settings without a figure have, meant that.

Missing or 0 now means a part of the machine: half of MemTotal or, if less, of the control group's limit; what GOMEMLIMIT gives the process in place of that half; and RLIMIT_NOFILE. What cannot be read is no limit, and is logged (machineUnknown).

Bodies at entries without these settings must now arrive as they must where they are given: without a pause of 10 s, and at 1 byte/ms after the first 10 s.

--- a/memory/limits.go
+++ b/memory/limits.go
@@ -41,7 +41,7 @@
 	connections := math.MaxInt
 	limits := Limits{}
 	if vm > 0 {
-		limits.Bodies, limits.Runtime = Bytes(float64(vm)*bodiesShare), Bytes(float64(vm)*runtimeShare)
+		limits.Bodies, limits.Runtime = Bytes(float64(vm)*bodiesShare), runtimeOf(vm)
 		connections = int(float64(vm) * connectionShare / connectionBytes)
 	}
 	if descriptors > 0 {
@@ -53,6 +53,9 @@
 	return limits
 }
 
+// runtimeOf returns the Go runtime's limit in a process that may use the memory.
+func runtimeOf(process Bytes) Bytes { return Bytes(float64(process) * runtimeShare) }
+
 // Apply sets the runtime's memory limit and returns the budget for bodies, nil for no limit.
 func (l Limits) Apply() *Budget {
 	if l.Bodies == 0 {
--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -48,6 +49,9 @@
 
 const gatewayIdentity = standin.HeaderRequestID + ": crowd\r\nAuthorization: Token key\r\n"
 
+// crowdMemoryVariable gives a process as much memory of the machine as a VM of the tests has.
+var crowdMemoryVariable = fmt.Sprintf("GOMEMLIMIT=%dMiB", crowdMemoryMB)
+
 var crowdFiller = strings.Repeat("x", 64<<10)
 
 func crowdHeader(identity, framing string) string {
@@ -288,3 +292,28 @@
 		})
 	}
 }
+
+// Guards against the same crowds at an entry of which the settings do not tell the VM's limits.
+func TestEntryWithoutLimitsInItsSettingsStaysWithinItsShareOfTheMachineUnderCrowds(t *testing.T) {
+	program := buildProgram(t)
+	for _, crowd := range crowds {
+		if !slices.Contains([]string{"whole", "largeChunks", "withoutRequest"}, crowd.name) {
+			continue
+		}
+		t.Run(crowd.name, func(t *testing.T) {
+			Convey("An entry stays within its share of the machine and still answers", t, func() {
+				vm, path := newCrowdVM(t)
+				vm.MemoryMegabytes, vm.FileDescriptors = 0, 0
+				writeSettings(t, vm, path)
+				cmd := exec.Command(program, "gateway")
+				cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path, crowdMemoryVariable)
+				entry := startProcess(t, cmd)
+				waitForStatus("http://"+vm.ReadinessAddress()+"/-/ready", http.StatusOK)
+				So(answered(vm, "small"), ShouldBeTrue)
+
+				connections := sendCrowd(vm.CallerAddress(), gatewayIdentity, crowd.size, crowd.caller)
+				assertWithinLimits(entry, connections, func(body string) bool { return answered(vm, body) })
+			})
+		})
+	}
+}
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -53,6 +53,8 @@
 	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's safe requests, from 0 for none
 	// to hedge.MaxShare.
 	HedgeShare float64
+	// Entries is how many entries run in this process and share what it may use of the machine, 0 stands for 1.
+	Entries int
 }
 
 // RunGateway runs an entry that reaches targets without agents, with the settings file of the users' platform at the
@@ -105,7 +107,7 @@
 		ApplyWithin: settings.Bounds.ApplyWithin,
 	})
 	bounds := settings.Bounds
-	limits := memory.LimitsOf(settings.Memory, settings.FileDescriptors)
+	limits := limitsOf(settings.VM, options.Entries, func(unknown []string) { log.Info("machineUnknown", "unlimited", unknown) })
 	budget := limits.Apply()
 	g := gateway.New(gateway.Options{
 		Zone: settings.Zone, Clock: clock, Log: log, Metrics: m, Tracker: tracker, Revocation: bounds.Revocation,
--- a/process/process.go
+++ b/process/process.go
@@ -38,7 +38,10 @@
 	if err != nil {
 		return err
 	}
-	limits := memory.LimitsOf(memory.Bytes(s.MemoryMegabytes)*memory.Megabyte, s.FileDescriptors)
+	vm := memory.VM{Memory: memory.Bytes(s.MemoryMegabytes) * memory.Megabyte, Descriptors: s.FileDescriptors}
+	limits := limitsOf(vm, 1, func(unknown []string) {
+		klog.Warningf("entry %s: no limit by %v, as the machine does not tell it", s.ID, unknown)
+	})
 	if limits.Connections > 0 {
 		s.MaxConnections = min(s.MaxConnections, limits.Connections)
 	}
--- a/process/servecrowd_test.go
+++ b/process/servecrowd_test.go
@@ -51,13 +51,13 @@
 folder = "%[2]s"
 `
 
-// startServe starts a service, its agent and an entry that reaches it through the agent, and returns the entry.
-func startServe(t *testing.T, program string) (entry *entryProcess, address string) {
+// startServe starts a service, its agent and an entry on the VM that reaches it through the agent, and returns the entry.
+func startServe(t *testing.T, program string, limits standin.VM, environment ...string) (entry *entryProcess, address string) {
 	vm, _ := newVM(t, "")
 	folder := t.TempDir()
 	files := map[string]string{
 		filepath.Join(folder, "fleet.toml"): fmt.Sprintf(serveFolder, vm.Host, crowdBodyLimit),
-		filepath.Join(folder, "serve"):      fmt.Sprintf(serveSettings, vm.Host, folder, crowdMemoryMB, crowdDescriptors),
+		filepath.Join(folder, "serve"):      fmt.Sprintf(serveSettings, vm.Host, folder, limits.MemoryMegabytes, limits.FileDescriptors),
 	}
 	for path, content := range files {
 		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
@@ -79,7 +79,9 @@
 		_ = tasks.Wait()
 		host.Close(context.Background())
 	})
-	entry = startProcess(t, exec.Command(program, "serve", filepath.Join(folder, "serve")))
+	cmd := exec.Command(program, "serve", filepath.Join(folder, "serve"))
+	cmd.Env = append(os.Environ(), environment...)
+	entry = startProcess(t, cmd)
 	address = vm.Host + ":9004"
 	waitForStatus("http://"+address+"/readyz", http.StatusOK)
 	return entry, address
@@ -112,7 +114,8 @@
 		}
 		t.Run(crowd.name, func(t *testing.T) {
 			Convey("An entry stays within its VM's limits and still answers", t, func() {
-				entry, address := startServe(t, program)
+				limits := standin.VM{MemoryMegabytes: crowdMemoryMB, FileDescriptors: crowdDescriptors}
+				entry, address := startServe(t, program, limits)
 				So(answeredAt(address, "small"), ShouldBeTrue)
 
 				connections := sendCrowd(address, "", crowd.size, crowd.caller)
@@ -121,3 +124,15 @@
 		})
 	}
 }
+
+// Guards against a crowd at an entry that reaches its targets through agents and of which the settings do not tell the VM's limits.
+func TestServeWithoutLimitsInItsSettingsStaysWithinItsShareOfTheMachineUnderCrowds(t *testing.T) {
+	program := buildProgram(t)
+	Convey("An entry stays within its share of the machine and still answers", t, func() {
+		entry, address := startServe(t, program, standin.VM{}, crowdMemoryVariable)
+		So(answeredAt(address, "small"), ShouldBeTrue)
+
+		connections := sendCrowd(address, "", crowdSize, declared(crowdBodyLimit, crowdBodyLimit-heldBackBytes, len(crowdFiller)))
+		assertWithinLimits(entry, connections, func(body string) bool { return answeredAt(address, body) })
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,8 +41,8 @@
 	Listen           string              `toml:"listen" comment:"IP:port for callers"`
 	Operators        string              `toml:"operators" comment:"IP:port for metrics and status"`
 	MaxConnections   int                 `toml:"connections" comment:"most connections of callers at once"`
-	MemoryMegabytes  int                 `toml:"memoryMegabytes" comment:"memory of this VM, from which limits for callers follow; 0 for none"`
-	FileDescriptors  int                 `toml:"fileDescriptors" comment:"file descriptors of this VM, likewise; 0 for no limit by them"`
+	MemoryMegabytes  int                 `toml:"memoryMegabytes" comment:"memory of this VM, from which limits for callers follow; 0: half of the machine's, -1: no limit"`
+	FileDescriptors  int                 `toml:"fileDescriptors" comment:"file descriptors of this VM, likewise; 0: those that this process may open, -1: no limit"`
 	DrainDelayMillis lovageshift.Millis  `toml:"drainDelayMillis" comment:"how long a stopping entry still serves while the balancer notices"`
 	Security         Security            `toml:"security"`
 	Source           Source              `toml:"source"`
@@ -88,8 +88,8 @@
 	v.address("listen", settings.Listen)
 	v.address("operators", settings.Operators)
 	v.require("connections", settings.MaxConnections > 0, "must be above 0")
-	v.require("memoryMegabytes", settings.MemoryMegabytes >= 0, "must not be negative")
-	v.require("fileDescriptors", settings.FileDescriptors >= 0, "must not be negative")
+	v.require("memoryMegabytes", settings.MemoryMegabytes >= -1, "must be -1 or more")
+	v.require("fileDescriptors", settings.FileDescriptors >= -1, "must be -1 or more")
 	v.require("drainDelayMillis", settings.DrainDelayMillis >= 0, "must not be negative")
 	v.security(&settings.Security)
 	v.source(&settings.Source)
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -74,7 +74,7 @@
 	// FirstPort is the lowest port that the VM's processes use; the entry serves callers on it.
 	FirstPort int
 	Bounds    map[string]any // the settings under "bounds", by their names in the file
-	// MemoryMegabytes and FileDescriptors are the VM's limits, 0 to name none.
+	// MemoryMegabytes and FileDescriptors are the VM's limits, 0 to leave them to the machine, -1 for no limit.
 	MemoryMegabytes int
 	FileDescriptors int
 	// Restarted is set once the whole installation has started for the first time.
--- a/try/platform.go
+++ b/try/platform.go
@@ -64,7 +64,7 @@
 			return err
 		}
 		vms = append(vms, vm)
-		tasks.Go(func() error { return process.RunGateway(ctx, path, nil, process.GatewayOptions{}) })
+		tasks.Go(func() error { return process.RunGateway(ctx, path, nil, process.GatewayOptions{Entries: entryCount}) })
 	}
 	tasks.Go(func() error { return announcePlatform(ctx, vms, out) })
 	return tasks.Wait()
