Move the stop and the connections of callers out of entry/entry.go

The file had grown to the assembly of an entry, how it stops and how it limits connections; the latter two are a file each now. No change of logic; the tests of ./entry pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,10 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"k8s.io/klog/v2"
 
 	"lovageshift"
-	"lovageshift/connection"
 	"lovageshift/delivery"
 	"lovageshift/framing"
 	"lovageshift/grant"
@@ -163,63 +161,6 @@
 	return tasks.Wait()
 }
 
-// callersFull makes room for another connection of a caller, by evicting bodies that have stalled.
-func (e *Entry) callersFull() { e.options.Budget.EvictStalled(e.options.Clock.Now()) }
-
-// newCallerListener returns the listener that decides when the connections of callers are closed.
-func (e *Entry) newCallerListener(listener net.Listener) *connection.Listener {
-	return connection.NewListener(listener, connection.Options{
-		Clock: e.options.Clock, Limit: e.options.MaxConnections, HeaderTimeout: readHeaderTimeout,
-		OnFull: e.callersFull, OnUnanswered: e.logUnanswered,
-		TooSlow:  encodeRefusal(lovageshift.NotRun(lovageshift.ReasonHeaderTooSlow, "the header came too slowly")),
-		Stopping: encodeRefusal(stoppingRefusal()),
-	})
-}
-
-// logUnanswered logs and counts a connection that was closed although a request on it had no answer.
-func (e *Entry) logUnanswered(c connection.Unanswered) {
-	e.options.Metrics.Add(metrics.ClosedUnanswered, c.State.String(), 1)
-	klog.Infof("entry %s: closed the connection of %s without an answer: state %s, %d bytes, the last one %d ms ago, draining %v",
-		e.options.ID, c.Caller, c.State, c.Received, c.Age, e.draining.Load())
-}
-
-// drain makes the readiness check fail, keeps serving for DrainDelay while the load balancer notices, and refuses requests from then
-// on. It accepts no more connections, closes the open ones as soon as no caller uses them, and waits for all responses in progress.
-func (e *Entry) drain(server *http.Server, callers *connection.Listener) {
-	e.draining.Store(true)
-	klog.Infof("entry %s: draining", e.options.ID)
-	time.Sleep(e.options.DrainDelay)
-	e.refusing.Store(true)
-	callers.StopAccepting()
-	closing, stopClosing := context.WithCancel(context.Background())
-	var tasks sync.WaitGroup
-	tasks.Go(func() { callers.CloseUnused(closing) })
-	callers.Wait(context.Background())
-	stopClosing()
-	tasks.Wait()
-	_ = server.Close()
-	klog.Infof("entry %s: drained", e.options.ID)
-}
-
-// refuseWhileStopping asks callers to close their connections once the entry is draining, and later refuses their requests.
-func (e *Entry) refuseWhileStopping(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		if e.refusing.Load() && r.URL.Path != healthPath {
-			e.refuse(w, stoppingRefusal())
-			return
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
-// stoppingRefusal returns the refusal of a request that arrives while the entry stops.
-func stoppingRefusal() *lovageshift.Refusal {
-	return lovageshift.NotRun(lovageshift.ReasonStopping, "the entry is stopping")
-}
-
 // Ready reports whether callers can be served: a configuration is in force, the entry has tried to compare its revision with
 // that of some peers, at least one target of the subset accepts work, and the entry is not draining.
 func (e *Entry) Ready() bool {
