--- a/agent/agent.go
+++ b/agent/agent.go
@@ -105,6 +105,7 @@
 	targetDown             bool                        // from a crash or a failed connection to the next successful poll
 	consecutiveFailures    int                         // failures of the target since the last complete response
 	draining               bool
+	stopped                chan struct{}     // closed by endCalls
 	engineLoad             engine.LoadReport // the latest one read; empty for a plain service and while the target is down
 	cacheSequence          uint64            // sequence number of the next prefix-cache event to read
 	cacheEpoch             int64             // sent to entries; rises when the prefix cache may have been lost
@@ -132,6 +133,7 @@
 		jobs:                 map[*admission.Request]*job{},
 		shareCountSettledAt:  map[lovageshift.AccountID]lovageshift.Millis{},
 		loadChanged:          make(chan struct{}),
+		stopped:              make(chan struct{}),
 		wake:                 make(chan struct{}, 1),
 	}
 	a.ledger = idempotency.NewLedger(options.Clock.Wall(), idempotencyLimits(&limits))
@@ -173,8 +175,9 @@
 	return membership.IsWatcher(config, target, sourceWatchersPerZone)
 }
 
-// Run serves entries and peers on the listener until the context ends, and then stops without draining, but waits for the
-// end of an order that is being sent (see sendOrder). For a graceful stop, call Drain before ending the context.
+// Run serves entries and peers on the listener until the context ends. It then refuses queued requests, cancels running ones and
+// waits until their refusals are sent, and for the end of an order that is being sent (see sendOrder). For a graceful stop, call
+// Drain before ending the context.
 func (a *Agent) Run(ctx context.Context, listener net.Listener) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterAgent(mux, a); err != nil {
@@ -185,6 +188,11 @@
 	}
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return link.NewServer(mux).Serve(ctx, listener) })
+	tasks.Go(func() error {
+		<-ctx.Done()
+		a.endCalls()
+		return nil
+	})
 	tasks.Go(func() error { return a.node.Run(ctx) })
 	tasks.Go(func() error { return a.followConfig(ctx) })
 	tasks.Go(func() error { return a.admitLoop(ctx) })
@@ -219,6 +227,18 @@
 	}
 }
 
+// endCalls refuses new and queued requests, cancels running ones and ends the Watch streams.
+func (a *Agent) endCalls() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.draining = true
+	a.refuseQueued(lovageshift.ReasonTargetLeaving)
+	for _, j := range a.jobs {
+		j.abort(lovageshift.Unknown(lovageshift.ReasonConnectionLost, "the agent has stopped"))
+	}
+	close(a.stopped)
+}
+
 // notifyLoadChanged wakes the Watch streams, which then send the changed load to their entries; a.mutex must be held.
 func (a *Agent) notifyLoadChanged() {
 	a.loadChangeCount++
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lovageshift"
@@ -23,6 +24,9 @@
 	stallFactor = 8
 )
 
+// errStopped ends the Watch streams when the agent stops.
+var errStopped = errors.New("the agent has stopped")
+
 // Watch streams this agent's load and newest suspects to an entry: first at once, then when either changes and, without
 // a change, every heartbeatInterval.
 func (a *Agent) Watch(request *wire.WatchRequest, stream wire.DRPCAgent_WatchStream) error {
@@ -50,13 +54,15 @@
 
 // awaitUpdate returns when the next message is due: at once for new suspects, updateDelay after the load has changed,
 // or after heartbeatInterval without a change. The delay is set at the first change; later changes of the load, such as
-// the start of draining, do not shorten it.
+// the start of draining, do not shorten it. It fails once the agent stops.
 func (a *Agent) awaitUpdate(ctx context.Context, changed, suspects <-chan struct{}) error {
 	heartbeat := time.NewTimer(heartbeatInterval)
 	defer heartbeat.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-a.stopped:
+		return errStopped
 	case <-heartbeat.C:
 		return nil
 	case <-suspects:
@@ -68,6 +74,8 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
+	case <-a.stopped:
+		return errStopped
 	case <-suspects:
 	case <-delay.C:
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -216,10 +216,12 @@
 	return f.agents[id]
 }
 
-// KillAgent stops an agent without draining and closes all its connections.
+// KillAgent closes all connections of an agent, so that it can answer nothing more, and stops it.
 func (f *Fleet) KillAgent(id lovageshift.TargetID) {
 	proc := f.Agent(id)
+	f.Network.CloseAll(string(id))
 	proc.stop()
+	// Closes the connections that were opened after the first call.
 	f.Network.CloseAll(string(id))
 	_ = proc.tasks.Wait()
 }
@@ -228,7 +230,9 @@
 func (f *Fleet) StopAgent(id lovageshift.TargetID) {
 	proc := f.Agent(id)
 	_ = proc.Drain(context.Background())
-	f.KillAgent(id)
+	proc.stop()
+	_ = proc.tasks.Wait()
+	f.Network.CloseAll(string(id))
 }
 
 // StartEntry starts a new incarnation of the entry with the given number, from 0. An earlier one must have been
