Do not report a request that a target has received as not sent

An agent said of a call without a body, on a repeatable route, that it had not run, although its target had received it whole: if the target ended the kept connection without an answer and then could not be reached.

Cause: net/http sends such a request again on a new connection, and if that cannot be opened, returns the error of dialling, which package engine takes for the proof that nothing was sent.

Open now returns ErrNotSent only if no connection got the header.

--- a/engine/client.go
+++ b/engine/client.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -65,6 +67,8 @@
 // response's body. The error matches ErrNotSent if no connection was opened or the request could not be built, so that
 // the target received no byte of it. After any other error, the target may have received the request.
 func (c *Client) Open(ctx context.Context, request Request) (*Response, error) {
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }})
 	outgoing, err := c.newRequest(ctx, request)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
@@ -75,6 +79,9 @@
 	}
 	response, err := client.Do(outgoing)
 	if err != nil {
+		if written.Load() {
+			return nil, err // also if net/http tried another connection, which could not be opened
+		}
 		return nil, markNotSent(err)
 	}
 	return &Response{
