Let dispatches run on when a change of the configuration drops their agent's link

Callers of an entry with agents got a part of an answer: 5 s after a change of the configuration took a target out of the entry's subset, or changed its agent's address, the entry cancelled the dispatches that ran there, with the reason connectionLost, although nothing was wrong there.

Cause: dropping a link ended the Watch stream, and the end of a Watch stream, whoever ended it, starts the timer after which the agent counts as lost.

A dropped link now keeps its Watch stream until its last dispatch has ended, so that only a real silence of the agent cancels them. New dispatches do not use it, as before.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -174,6 +174,7 @@
 		return lovageshift.NotRun(lovageshift.ReasonAgentUnreachable, "the agent is no longer linked")
 	}
 	lostContext := l.lostContext
+	l.dispatches++
 	p.computeTokens = e.loads.ComputeTokens(target.ID, p.routingRequest)
 	e.loads.RecordDispatch(e.node.Now(), target.ID, p.routingRequest)
 	e.mutex.Unlock()
@@ -185,6 +186,7 @@
 
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	l.endDispatches(1)
 	e.loads.RecordEnd(e.node.Now(), target.ID, refusal != nil && isTargetFailure(refusal))
 	if refusal == nil {
 		e.retryBudget.RecordSuccess(p.accountID(), target.ID)
--- a/entry/links.go
+++ b/entry/links.go
@@ -30,6 +30,22 @@
 	lostContext context.Context
 	declareLost context.CancelFunc
 	lostTimer   *time.Timer // calls declareLost; nil while the link is up, and before its first watch ends
+	dispatches  int         // that run at the agent
+	isDropped   bool        // the link is no longer among Entry.links
+}
+
+// drop ends the watch once no dispatch runs at the agent. Until then only the agent's silence cancels them. Entry.mutex must be held.
+func (l *agentLink) drop() {
+	l.isDropped = true
+	l.endDispatches(0)
+}
+
+// endDispatches records that so many dispatches have ended. Entry.mutex must be held.
+func (l *agentLink) endDispatches(count int) {
+	l.dispatches -= count
+	if l.isDropped && l.dispatches == 0 {
+		l.cancel()
+	}
 }
 
 // maintainLinks watches the agents of the subset and applies each new configuration, until the context ends.
@@ -66,7 +82,7 @@
 		if wanted[id] == l.address.Address {
 			continue
 		}
-		l.cancel()
+		l.drop()
 		delete(e.links, id)
 		e.loads.MarkUnreachable(id)
 	}
--- a/fleet/control_test.go
+++ b/fleet/control_test.go
@@ -14,6 +14,7 @@
 	"lovageshift/fleet"
 	"lovageshift/folderservice"
 	"lovageshift/metrics"
+	"lovageshift/standin"
 )
 
 // waitForRevision waits until the revision is active in every entry and agent, at most a minute, and returns the time
@@ -356,3 +357,30 @@
 		}
 	})
 }
+
+// TestRunningRequestsOutliveAChangeOfTheSubset guards against a change of the configuration that cuts running requests, because their
+// targets are no longer among those to which the entry dispatches.
+func TestRunningRequestsOutliveAChangeOfTheSubset(t *testing.T) {
+	spec := smallSpec()
+	for _, id := range []lovageshift.TargetID{"e3", "e4"} {
+		spec.Engines = append(spec.Engines, fleet.Engine{ID: id, Zone: "a", Profile: standin.FastProfile(), MaxRunning: 8, MaxWaiting: 16})
+	}
+	withFleet(t, spec, func(t *testing.T, f *fleet.Fleet) {
+		requests := requestsFor("painters", 8, 1500)
+		var changes errgroup.Group
+		changes.Go(func() error {
+			time.Sleep(500 * time.Millisecond)
+			waitForRevision(f, f.Publish("90-limits.toml", "[limits]\nsubsetTargets = 1\n"))
+			return nil
+		})
+		replies := completeAll(f, requests, time.Millisecond)
+		_ = changes.Wait()
+		for i, reply := range replies {
+			if !reply.Correct(requests[i]) {
+				t.Errorf("cut after %d tokens and %v: %s, %v", reply.Tokens, reply.TimeToLastToken, reply.Reason, reply.Err)
+			} else if reply.TimeToLastToken < 8*time.Second {
+				t.Errorf("took only %v", reply.TimeToLastToken)
+			}
+		}
+	})
+}
