Check over TLS that a stopping agent answers calls that arrive

The test of an agent's stop uses connections without TLS, on which a read deadline has no side effects. This one sends a call 200 ms after the server's stop over TLS, beside a connection without a handshake, on which the server must not wait.

--- a/link/stop_test.go
+++ b/link/stop_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcconn"
@@ -65,3 +68,46 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a stopping server that breaks TLS connections on which calls arrive, or waits for those on which none does.
+func TestCallsThatArriveOverTLSWhenTheServerStopsAreAnswered(t *testing.T) {
+	certified := httptest.NewTLSServer(nil) // only for its certificate
+	defer certified.Close()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: certified.TLS.Certificates})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	mux := drpcmux.New()
+	peer := &heldPeer{begun: make(chan struct{}), end: make(chan struct{})}
+	close(peer.end)
+	if err := wire.DRPCRegisterPeer(mux, peer); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var tasks errgroup.Group
+	tasks.Go(func() error { return link.NewServer(mux).Serve(ctx, listener) })
+	withoutHandshake, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = withoutHandshake.Close() }()
+	transport, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	connection := drpcconn.New(transport)
+	defer func() { _ = connection.Close() }()
+	stop()
+	stopped := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	if _, err := wire.NewDRPCPeerClient(connection).Fetch(context.Background(), &wire.FetchRequest{}); err != nil {
+		t.Fatal("no answer: ", err)
+	}
+	if err := tasks.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(stopped); took > 1500*time.Millisecond {
+		t.Fatalf("the server stopped after %v", took)
+	}
+}
