Show the reason when a test of an agent's stop fails

An earlier form of this test, which did not wait until the agent had its configuration, failed once with an outcome of "not run", whose reason it did not show. The test now compares the reason first.

--- a/process/agentstop_test.go
+++ b/process/agentstop_test.go
@@ -196,8 +196,8 @@
 		time.Sleep(300 * time.Millisecond)
 		stop()
 		So(entries.Wait(), ShouldBeNil)
-		So(lovageshift.Outcome(end.Outcome), ShouldEqual, lovageshift.OutcomeUnknown)
 		So(end.Reason, ShouldEqual, string(lovageshift.ReasonConnectionLost))
+		So(lovageshift.Outcome(end.Outcome), ShouldEqual, lovageshift.OutcomeUnknown)
 		So(tasks.Wait(), ShouldEqual, context.DeadlineExceeded)
 	})
 }
