Do not end a stream for its target's silence while the entry stops

Callers of a stopping entry got a stream cut after 2 s of silence of its target, although its deadline and the grace period were far away. Cause: the watch for stalls knows nothing of a stop, in which an answer must not end sooner than it would have to.

The watch no longer cancels while the entry drains; at other times it does as before (TestStalledStreams). TestSilentStreamsAreNotEndedDuringAStop: before, 0 of 2 events and no whole answer; now both.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -27,7 +27,8 @@
 }
 
 // watchForStall returns the watch of a stream that the function cancels. Streams of routes without a longest pause are not
-// watched, as it is not known how long the pauses of a sound one are.
+// watched, as it is not known how long the pauses of a sound one are. While the entry stops, no stream is canceled: a stop must not
+// end an answer before its deadline or the end of the grace period.
 func (r *request) watchForStall(cancel context.CancelFunc) *stallWatch {
 	s := &stallWatch{}
 	if r.route.MaxGap == 0 {
@@ -35,6 +36,9 @@
 	}
 	s.limit = max(minStall, stallPerObjective*r.job.Objective, stallPerMaxGap*r.route.MaxGap)
 	s.timer = time.AfterFunc(s.limit.Duration(), func() {
+		if r.gateway.draining.Load() {
+			return
+		}
 		s.stalled.Store(true)
 		cancel()
 	})
--- a/gateway/truncated_test.go
+++ b/gateway/truncated_test.go
@@ -214,3 +214,17 @@
 		})
 	}
 }
+
+// Guards against a stop that ends an answer because its target is silent for a time.
+func TestSilentStreamsAreNotEndedDuringAStop(t *testing.T) {
+	Convey("A stream whose target is silent for longer than a stall goes on while the entry stops", t, func() {
+		s, stop := newRawSetup(&rawTarget{
+			response: "Content-Type: text/event-stream\r\n\r\n", pieces: slices.Repeat([]string{"data: a\n\n"}, 2), pause: 3 * time.Second,
+		})
+		defer stop()
+		time.AfterFunc(500*time.Millisecond, s.gateway.Drain)
+		got := s.send("r1", "POST", "/paced/x", "")
+		So(got.complete, ShouldBeTrue)
+		So(strings.Count(got.body, "data: a"), ShouldEqual, 2)
+	})
+}
