Look for arrived bytes without a deadline before a connection ends

Callers whose request had arrived at the moment at which their connection was to be closed got the end of the connection instead of an answer, on a machine that let the reader wait.

Cause: the last look for bytes was a read with a deadline of 2 ms. If the goroutine gets no processor for 2 ms between setting the deadline and reading, the read fails at once and does not look. The reader now peeks with a system call that knows no deadline, and reads on if there is anything.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lovageshift"
 )
 
@@ -18,8 +21,6 @@
 	lingerTime = time.Second
 	// How long writing an answer to a header that is not whole may take. It fits into the empty buffer of the connection.
 	refusalTime = time.Second
-	// How long the reader of a connection that is to be closed looks for bytes that have arrived and were not read.
-	lastReadTime = 2 * time.Millisecond
 )
 
 // aLongTimeAgo is a read deadline that makes a waiting Read return at once.
@@ -65,8 +66,6 @@
 	retirement retirement
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
-	// isLastRead is set while the reader looks for bytes before it ends the connection.
-	isLastRead bool
 	// received and written are the numbers of bytes since the last answer ended, receivedAt is when the last byte arrived.
 	received, written int
 	receivedAt        lovageshift.Millis
@@ -116,9 +115,8 @@
 		return nil, false, err
 	case c.phase == running:
 		return nil, false, err // a deadline of the server
-	case !c.isLastRead:
-		c.isLastRead = true
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+	case c.hasUnread():
+		_ = c.Conn.SetReadDeadline(time.Time{}) // reading returns at once
 		return nil, true, nil
 	case c.phase == unused:
 		c.setPhase(closing)
@@ -205,7 +203,6 @@
 // applyDeadline sets the read deadline by the phase and the retirement. The caller holds the mutex.
 func (c *conn) applyDeadline() error {
 	deadline := c.deadline
-	c.isLastRead = false
 	switch {
 	case c.closed:
 		return nil // Close has set one
@@ -227,6 +224,25 @@
 	return timeout > 0 && (c.listener.options.Clock.Now()-c.since).Duration() >= timeout-time.Millisecond
 }
 
+// hasUnread reports whether reading would return at once if there were no deadline. A read whose deadline has passed before it
+// begins does not look for bytes.
+func (c *conn) hasUnread() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isEmpty := false
+	err = raw.Control(func(descriptor uintptr) {
+		_, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		isEmpty = err == unix.EAGAIN
+	})
+	return err == nil && !isEmpty
+}
+
 // retire makes the reader end the connection if it has been unused for the time or, if headerless is set, also if a part of a
 // header has arrived.
 func (c *conn) retire(headerless bool, unusedFor lovageshift.Millis) {
--- /dev/null
+++ b/connection/crossing_test.go
@@ -0,0 +1,74 @@
+package connection_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lovageshift/connection"
+)
+
+// crossing lets bytes of a caller arrive at the moment at which the reader of its connection is asked to end it, and delays the
+// goroutine that sets the reader's deadline, as a busy machine does.
+type crossing struct {
+	net.Listener
+	armed atomic.Bool
+	// sends sends the caller's bytes.
+	sends func()
+}
+
+// schedulingDelay is longer than the reader could look for bytes by a deadline.
+const schedulingDelay = 20 * time.Millisecond
+
+func (l *crossing) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &crossingConn{countingConn: accepted.(countingConn), crossing: l}, nil
+}
+
+type crossingConn struct {
+	countingConn
+	crossing *crossing
+	once     sync.Once
+}
+
+func (c *crossingConn) SetReadDeadline(deadline time.Time) error {
+	err := c.countingConn.SetReadDeadline(deadline)
+	if c.crossing.armed.Load() && !deadline.IsZero() && time.Until(deadline) < schedulingDelay {
+		c.once.Do(c.crossing.sends)
+		time.Sleep(schedulingDelay)
+	}
+	return err
+}
+
+// Guards against a reader that ends a connection on which a request has arrived, since its last read began after its deadline.
+func TestRequestsThatCrossTheEndAreServed(t *testing.T) {
+	retirements := map[string]func(s *server){
+		"CloseUnused": func(s *server) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			s.listener.CloseUnused(ctx)
+		},
+		"RefuseBegun": func(s *server) { s.listener.RefuseBegun() },
+	}
+	for name, retire := range retirements {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := &crossing{}
+			s := startServer(t, connection.Options{}, nil, func(inner net.Listener) net.Listener { l.Listener = inner; return l })
+			caller := s.dial()
+			_, whole := request("/crosses", "body")
+			l.sends = func() { caller.send(whole) }
+			l.armed.Store(true)
+			waitFor(t, func() bool { open, _ := s.listener.Connections(); return open == 1 })
+			retire(s)
+			caller.expect(t, http.StatusOK, "/crosses body")
+		})
+	}
+}
