Close a connection in order if a request kept a full listener from closing it

A caller whose request arrived just as a full listener wanted its idle connection was answered, and its connection was then reset if bytes were unread, so that it could lose the answer.

Cause: the mark that a connection closed for want of room is not held open for its caller stayed set when a request kept the connection, and was also set if the connection had a whole header by then. It is now set only if the reader may end the connection, and cleared with that.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -128,7 +128,7 @@
 		c.setPhase(closing)
 		return options.TooSlow, false, io.EOF
 	default: // the request began just before the connection was to be closed
-		c.retirement = stay
+		c.keep()
 		_ = c.applyDeadline()
 		return nil, true, nil
 	}
@@ -140,7 +140,7 @@
 	c.receivedAt = c.listener.options.Clock.Now()
 	if c.phase == unused {
 		if c.retirement == ifUnused {
-			c.retirement = stay
+			c.keep()
 		}
 		c.setPhase(begun)
 	}
@@ -174,7 +174,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.retirement = stay
+		c.keep()
 		c.setPhase(running)
 	case http.StateIdle:
 		c.received, c.written, c.answered = buffered, 0, true
@@ -200,6 +200,9 @@
 	return c.applyDeadline()
 }
 
+// keep records that the connection goes on although others wanted to close it. The caller holds the mutex.
+func (c *conn) keep() { c.retirement, c.noLinger = stay, false }
+
 // applyDeadline sets the read deadline by the phase and the retirement. The caller holds the mutex.
 func (c *conn) applyDeadline() error {
 	deadline := c.deadline
@@ -248,15 +251,21 @@
 func (c *conn) retire(headerless bool, unusedFor lovageshift.Millis) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.setRetirement(headerless, unusedFor)
+}
+
+// setRetirement does what retire says, and reports whether the reader may end the connection. The caller holds the mutex.
+func (c *conn) setRetirement(headerless bool, unusedFor lovageshift.Millis) bool {
 	switch {
 	case headerless && (c.phase == unused || c.phase == begun):
 		c.retirement = ifHeaderless
 	case c.phase == unused && c.retirement == stay && c.listener.options.Clock.Now()-c.since >= unusedFor:
 		c.retirement = ifUnused
 	default:
-		return
+		return false
 	}
 	_ = c.applyDeadline()
+	return true
 }
 
 // shedRank returns the rank of the connection among those that may be closed to make room, and whether it may be.
@@ -282,14 +291,14 @@
 // shed closes the connection to make room for another one, unless a whole header arrives on it or, if it was unused, any byte.
 func (c *conn) shed() {
 	c.mutex.Lock()
-	isClosing, isBegun := c.phase == closing, c.phase == begun
-	c.noLinger = true
+	lingers := c.phase == closing && c.closed
+	if !lingers && c.setRetirement(c.phase == begun, 0) {
+		c.noLinger = true
+	}
 	c.mutex.Unlock()
-	if isClosing {
+	if lingers {
 		c.abort()
-		return
 	}
-	c.retire(isBegun, 0)
 }
 
 // Close ends the connection for the server. Unless the caller has ended it, it stays open for a moment after its end was sent, as
--- a/connection/crossing_test.go
+++ b/connection/crossing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -72,3 +73,36 @@
 		})
 	}
 }
+
+// Guards against a connection that is reset after its answer because a full listener wanted to close it before the request began.
+func TestConnectionThatWasNotShedEndsInOrder(t *testing.T) {
+	t.Parallel()
+	l := &crossing{}
+	idle := make(chan struct{}, 10)
+	s := startServer(t, connection.Options{Limit: 1}, func(h *http.Server) { reportIdle(h, idle) },
+		func(inner net.Listener) net.Listener { l.Listener = inner; return l })
+	caller := s.dial()
+	_, first := request("/first", "")
+	caller.send(first)
+	caller.expect(t, http.StatusOK, "/first ")
+	<-idle
+	s.closes.Store(true)
+	// More than the server reads before it answers.
+	_, whole := request("/crosses", "body")
+	l.sends = func() { caller.send(whole + strings.Repeat("x", 64<<10)) }
+	l.armed.Store(true)
+	_ = s.dial()
+	caller.expect(t, http.StatusOK, "/crosses body")
+	caller.expectEnd(t)
+}
+
+// reportIdle makes the server report each connection that becomes idle.
+func reportIdle(h *http.Server, idle chan struct{}) {
+	record := h.ConnState
+	h.ConnState = func(c net.Conn, state http.ConnState) {
+		record(c, state)
+		if state == http.StateIdle {
+			idle <- struct{}{}
+		}
+	}
+}
