Close one connection, not two, for each caller that needs room

A full listener closed two idle connections of callers for each new caller.

Cause: Accept looked for a further connection to close whenever it was woken, and it was woken at once by the note of a connection that had become idle earlier. It now waits for the one that it chose, as long as that one is about to end.

Before: TestOneConnectionIsShedForOneCaller fails in 3 of 3 runs ("2 connections were closed for one caller"). After: 0 of 10 with -race.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -301,6 +301,16 @@
 	}
 }
 
+// isEnding reports whether the connection is about to end and not waiting for its caller.
+func (c *conn) isEnding() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == closing {
+		return !c.closed || c.noLinger
+	}
+	return c.retirement != stay
+}
+
 // Close ends the connection for the server. Unless the caller has ended it, it stays open for a moment after its end was sent, as
 // closing it resets it if bytes have arrived that were not read, and the caller then may not get the last answer.
 func (c *conn) Close() error {
--- a/connection/limit.go
+++ b/connection/limit.go
@@ -25,10 +25,10 @@
 	return true
 }
 
-// makeRoom closes one connection that has no request, and reports whether there was one: one that waits for its caller to close it,
-// one on which an answer has ended and no other request has begun, or one without a whole header for headerMillis, each the one
+// makeRoom closes one connection that has no request, and returns it, nil if there is none: one that waits for its caller to close
+// it, one on which an answer has ended and no other request has begun, or one without a whole header for headerMillis, each the one
 // that has been so for longest.
-func (l *Listener) makeRoom() bool {
+func (l *Listener) makeRoom() *conn {
 	var victim *conn
 	var least shedRank
 	for _, c := range l.connections() {
@@ -37,13 +37,21 @@
 		}
 	}
 	if victim == nil {
-		return false
+		return nil
 	}
 	l.mutex.Lock()
 	l.shed++
 	l.mutex.Unlock()
 	victim.shed()
-	return true
+	return victim
+}
+
+// isEnding reports whether the connection still has its place and is about to free it.
+func (l *Listener) isEnding(c *conn) bool {
+	l.mutex.Lock()
+	_, isOpen := l.open[c]
+	l.mutex.Unlock()
+	return isOpen && c.isEnding()
 }
 
 // shedClass is a kind of connections that may be closed to make room; lower ones are closed first.
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -86,8 +86,12 @@
 		return nil, l.endAccepting(err)
 	}
 	c := newConn(accepted, l)
+	var victim *conn
 	for !l.add(c) {
-		if !l.makeRoom() {
+		if victim == nil || !l.isEnding(victim) {
+			victim = l.makeRoom()
+		}
+		if victim == nil {
 			l.options.OnFull()
 		}
 		select {
