Accept all queued connections when a full listener stops

Callers that had connected to an entry that was full when it stopped accepting were reset without an answer.

Cause: the last 50 ms of accepting ran out while Accept waited for room, and an Accept whose deadline has passed does not look at the kernel's queue. Only the time that Accept waits for connections counts now, and a call that began after its deadline is made again.

Before: TestQueuedCallersOfAFullListenerAreAnsweredAfterStopAccepting fails in 2 of 2 runs ("connection reset by peer; want 200"). After: 0 of 3 with -race.

--- a/connection/listener.go
+++ b/connection/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -18,8 +19,10 @@
 	unusedMillis lovageshift.Millis = 400
 	// Interval at which a stopping listener looks for unused connections, and Wait for open ones.
 	retireInterval = 20 * time.Millisecond
-	// How long a listener that stops still accepts connections that callers have already opened.
+	// How long a listener that stops waits for further connections, which callers have already opened.
 	lastAcceptTime = 50 * time.Millisecond
+	// Shortest time for which it waits for one.
+	minAcceptTime = time.Millisecond
 )
 
 // Unanswered describes a connection that this process closed although bytes of a request had arrived on it that got no answer.
@@ -69,6 +72,8 @@
 	stopOnce sync.Once
 	endOnce  sync.Once
 	tasks    sync.WaitGroup
+	// acceptTime is how long Accept may still wait for connections after StopAccepting; only Accept uses it.
+	acceptTime time.Duration
 }
 
 // NewListener returns a listener that accepts from the listener.
@@ -76,12 +81,13 @@
 	return &Listener{
 		Listener: listener, options: options, open: map[*conn]struct{}{},
 		freed: make(chan struct{}, 1), stopping: make(chan struct{}), closed: make(chan struct{}),
+		acceptTime: lastAcceptTime,
 	}
 }
 
 // Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
+	accepted, err := l.acceptNext()
 	if err != nil {
 		return nil, l.endAccepting(err)
 	}
@@ -104,12 +110,40 @@
 	return c, nil
 }
 
+// acceptNext accepts the next connection. After StopAccepting, it waits lastAcceptTime for them, in all calls together: those that
+// callers have opened while there was no room do not count.
+func (l *Listener) acceptNext() (net.Conn, error) {
+	for {
+		deadline := l.acceptDeadline()
+		begun := time.Now()
+		accepted, err := l.Listener.Accept()
+		if !deadline.IsZero() {
+			l.acceptTime -= time.Since(begun)
+		}
+		// A call that began after its deadline did not look for connections.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !isClosed(l.stopping) || begun.Before(deadline) {
+			return accepted, err
+		}
+	}
+}
+
+// acceptDeadline sets and returns the time until which to wait for the next connection, the zero time before StopAccepting.
+func (l *Listener) acceptDeadline() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	timed, ok := l.Listener.(deadliner)
+	if !ok || !isClosed(l.stopping) {
+		return time.Time{}
+	}
+	deadline := time.Now().Add(max(l.acceptTime, minAcceptTime))
+	_ = timed.SetDeadline(deadline)
+	return deadline
+}
+
 // endAccepting returns the error with which accepting ended. After StopAccepting it waits until the listener is closed, as a server
 // whose listener fails cannot be stopped without cutting requests.
 func (l *Listener) endAccepting(err error) error {
-	select {
-	case <-l.stopping:
-	default:
+	if !isClosed(l.stopping) {
 		return err
 	}
 	err = l.Listener.Close()
@@ -117,17 +151,31 @@
 	return errors.Join(net.ErrClosed, err)
 }
 
+// deadliner is a listener whose Accept fails from a set time on.
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // StopAccepting accepts the connections that callers have already opened, and then no more.
 func (l *Listener) StopAccepting() {
 	l.stopOnce.Do(func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
 		close(l.stopping)
-		timed, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-		if !ok || timed.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
+		timed, ok := l.Listener.(deadliner)
+		if !ok || timed.SetDeadline(aLongTimeAgo) != nil { // wakes up Accept
 			_ = l.Listener.Close()
 		}
 	})
 }
 
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close closes the listener, and not its connections.
 func (l *Listener) Close() error {
 	var err error
