Let Wait cover the callers that have connected and are not yet served

A stopping process that had no open connection left could end while a caller waited in the kernel's queue or for room, whose connection was then reset without an answer.

Cause: Wait only counted connections that Accept had returned. After StopAccepting it now also waits until accepting has ended or the listener is closed.

--- a/connection/accept_test.go
+++ b/connection/accept_test.go
@@ -1,8 +1,10 @@
 package connection_test
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,6 +38,56 @@
 	waitFor(t, func() bool { c, err := net.Dial("tcp", s.address); return err != nil || c.Close() != nil })
 }
 
+// Guards against a stop that ends while a caller that has connected is not yet served.
+func TestWaitCoversCallersThatAreBeingAccepted(t *testing.T) {
+	t.Parallel()
+	full, goOn := make(chan struct{}, 1), make(chan struct{})
+	s := startServer(t, connection.Options{Limit: 1, OnFull: func() { signal(full); <-goOn }}, nil, nil)
+	release := sync.OnceFunc(func() { close(goOn) })
+	t.Cleanup(release)
+	running := s.dial()
+	_, whole := request(runPath, "")
+	running.send(whole)
+	waitFor(t, func() bool { return s.runs(runPath) == 1 })
+	next := s.dial()
+	_, whole = request("/next", "body")
+	next.send(whole)
+	<-full
+	s.listener.StopAccepting()
+	s.finish()
+	running.expect(t, http.StatusOK, runPath+" ")
+	_ = running.Close()
+	waitFor(t, func() bool { open, _ := s.listener.Connections(); return open == 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if s.listener.Wait(ctx) {
+		t.Error("Wait returned true while a caller was not served")
+	}
+	release()
+	next.expect(t, http.StatusOK, "/next body")
+	_ = next.Close()
+	s.checkNothingLeft()
+}
+
+// Guards against a stop that ends before the callers that had connected were accepted.
+func TestWaitCoversCallersInTheQueue(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, connection.Options{}, nil, nil)
+	caller := s.dial()
+	_, whole := request("/queued", "body")
+	caller.send(whole)
+	s.listener.StopAccepting()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if s.listener.Wait(ctx) {
+		t.Error("Wait returned true while a caller was in the queue")
+	}
+	s.serve()
+	caller.expect(t, http.StatusOK, "/queued body")
+	_ = caller.Close()
+	s.checkNothingLeft()
+}
+
 func signal(to chan struct{}) {
 	select {
 	case to <- struct{}{}:
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -68,8 +68,10 @@
 
 	freed    chan struct{} // has an item after a connection was closed or became unused
 	stopping chan struct{} // closed by StopAccepting
+	accepted chan struct{} // closed once no more connections are accepted after that
 	closed   chan struct{} // closed by Close
 	stopOnce sync.Once
+	lastOnce sync.Once
 	endOnce  sync.Once
 	tasks    sync.WaitGroup
 	// acceptTime is how long Accept may still wait for connections after StopAccepting; only Accept uses it.
@@ -80,7 +82,7 @@
 func NewListener(listener net.Listener, options Options) *Listener {
 	return &Listener{
 		Listener: listener, options: options, open: map[*conn]struct{}{},
-		freed: make(chan struct{}, 1), stopping: make(chan struct{}), closed: make(chan struct{}),
+		freed: make(chan struct{}, 1), stopping: make(chan struct{}), accepted: make(chan struct{}), closed: make(chan struct{}),
 		acceptTime: lastAcceptTime,
 	}
 }
@@ -147,6 +149,7 @@
 		return err
 	}
 	err = l.Listener.Close()
+	l.lastOnce.Do(func() { close(l.accepted) })
 	<-l.closed
 	return errors.Join(net.ErrClosed, err)
 }
@@ -206,9 +209,10 @@
 	}
 }
 
-// Wait waits until no connection is open, and reports whether that was before the context ended.
+// Wait waits until no connection is open and, after StopAccepting, none is left to accept. It reports whether that was before the
+// context ended.
 func (l *Listener) Wait(ctx context.Context) bool {
-	for len(l.connections()) > 0 {
+	for l.isAcceptingLast() || len(l.connections()) > 0 {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -217,6 +221,11 @@
 	return true
 }
 
+// isAcceptingLast reports whether connections are still accepted after StopAccepting.
+func (l *Listener) isAcceptingLast() bool {
+	return isClosed(l.stopping) && !isClosed(l.accepted) && !isClosed(l.closed)
+}
+
 // Abort closes all connections at once.
 func (l *Listener) Abort() {
 	for _, c := range l.connections() {
