Accept on after a temporary error while a listener stops

Callers in the kernel's queue were reset if accepting failed for a moment, for instance for want of descriptors or after a caller had given up, while an entry stopped.

Cause: after StopAccepting, any error of Accept ended accepting. The server now gets temporary ones, as before a stop, and accepts again.

--- a/connection/accept_test.go
+++ b/connection/accept_test.go
@@ -5,12 +5,51 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"lovageshift/connection"
 )
 
+// failingListener fails as often as failures says, with a temporary error.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.ECONNABORTED}
+	}
+	return l.Listener.Accept()
+}
+
+func (l *failingListener) SetDeadline(deadline time.Time) error {
+	return l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(deadline)
+}
+
+// Guards against callers in the kernel's queue that are reset because accepting failed for a moment.
+func TestTemporaryAcceptErrors(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		t.Run(map[bool]string{false: "serving", true: "stopping"}[stopping], func(t *testing.T) {
+			t.Parallel()
+			l := &failingListener{}
+			l.failures.Store(3)
+			s := newServer(t, connection.Options{}, nil, func(inner net.Listener) net.Listener { l.Listener = inner; return l })
+			caller := s.dial()
+			_, whole := request("/queued", "body")
+			caller.send(whole)
+			if stopping {
+				s.listener.StopAccepting()
+			}
+			s.serve()
+			caller.expect(t, http.StatusOK, "/queued body")
+		})
+	}
+}
+
 // Guards against callers in the kernel's queue that are reset because a listener that stops has no room for them yet.
 func TestQueuedCallersOfAFullListenerAreAnsweredAfterStopAccepting(t *testing.T) {
 	t.Parallel()
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -142,10 +142,10 @@
 	return deadline
 }
 
-// endAccepting returns the error with which accepting ended. After StopAccepting it waits until the listener is closed, as a server
-// whose listener fails cannot be stopped without cutting requests.
+// endAccepting returns the error with which accepting failed. After StopAccepting it waits until the listener is closed, as a server
+// whose listener fails cannot be stopped without cutting requests, unless the server accepts again after the error.
 func (l *Listener) endAccepting(err error) error {
-	if !isClosed(l.stopping) {
+	if !isClosed(l.stopping) || isTemporary(err) {
 		return err
 	}
 	err = l.Listener.Close()
@@ -154,6 +154,12 @@
 	return errors.Join(net.ErrClosed, err)
 }
 
+// isTemporary reports whether http.Server accepts again after the error.
+func isTemporary(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Temporary() && !failure.Timeout()
+}
+
 // deadliner is a listener whose Accept fails from a set time on.
 type deadliner interface{ SetDeadline(time.Time) error }
 
