Close connections that are accepted while or after Abort is called

A caller that waited for room when a process closed all connections was let in afterwards; its connection stayed open until the process ended.

Cause: Abort closed the connections that were open at the moment of the call. Accept now closes each later one, so that also none begins to linger while Abort waits for those that do.

--- a/connection/accept_test.go
+++ b/connection/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -127,6 +128,63 @@
 	s.checkNothingLeft()
 }
 
+// Guards against a connection that is accepted during Abort and left open by it.
+func TestAbortCoversCallersThatAreBeingAccepted(t *testing.T) {
+	t.Parallel()
+	full, goOn := make(chan struct{}, 1), make(chan struct{})
+	s := startServer(t, connection.Options{Limit: 1, OnFull: func() { signal(full); <-goOn }}, nil, nil)
+	release := sync.OnceFunc(func() { close(goOn) })
+	t.Cleanup(release)
+	running := s.dial()
+	_, whole := request(runPath, "")
+	running.send(whole)
+	waitFor(t, func() bool { return s.runs(runPath) == 1 })
+	next := s.dial()
+	<-full
+	s.listener.Abort()
+	release()
+	if _, _, err := next.answer(); err == nil {
+		t.Error("got an answer")
+	}
+	s.checkNothingLeft()
+}
+
+// Guards against a panic or data race of Abort with connections that the server closes at the same time.
+func TestAbortWhileConnectionsEnd(t *testing.T) {
+	t.Parallel()
+	s := startServer(t, connection.Options{}, nil, nil)
+	s.closes.Store(true)
+	_, whole := request(runPath, "")
+	const count = 200
+	for range count {
+		s.dial().send(whole)
+	}
+	waitFor(t, func() bool { return s.runs(runPath) == count })
+	s.finish()
+	s.listener.Abort()
+	s.checkNothingLeft()
+}
+
+// Guards against a listener that stays open, or connections that end, when it is closed without StopAccepting.
+func TestClose(t *testing.T) {
+	t.Parallel()
+	s := startServer(t, connection.Options{}, nil, nil)
+	caller := s.dial()
+	_, whole := request("/first", "")
+	caller.send(whole)
+	caller.expect(t, http.StatusOK, "/first ")
+	for range 2 {
+		if err := s.listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := net.Dial("tcp", s.address); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("dialing a closed listener: %v", err)
+	}
+	caller.send(whole)
+	caller.expect(t, http.StatusOK, "/first ")
+}
+
 func signal(to chan struct{}) {
 	select {
 	case to <- struct{}{}:
--- a/connection/caller_test.go
+++ b/connection/caller_test.go
@@ -21,7 +21,7 @@
 
 const (
 	// patience bounds every wait for something that must happen, on a busy machine.
-	patience = 10 * time.Second
+	patience = 5 * time.Second
 	// runPath is the path of requests that run until server.finish is called.
 	runPath = "/run"
 )
--- a/connection/limit.go
+++ b/connection/limit.go
@@ -14,11 +14,35 @@
 	fullInterval = 50 * time.Millisecond
 )
 
-// add adds the connection if there is room for it.
+// waitForRoom adds the connection once there is room for it, and closes others to make room. It reports whether it did, and not
+// Abort or Close ended the wait.
+func (l *Listener) waitForRoom(c *conn) bool {
+	var victim *conn
+	for !l.add(c) {
+		if isClosed(l.aborted) {
+			return false
+		}
+		if victim == nil || !l.isEnding(victim) {
+			victim = l.makeRoom()
+		}
+		if victim == nil {
+			l.options.OnFull()
+		}
+		select {
+		case <-l.closed:
+			return false
+		case <-l.freed:
+		case <-time.After(fullInterval):
+		}
+	}
+	return true
+}
+
+// add adds the connection if there is room for it and Abort was not called.
 func (l *Listener) add(c *conn) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.options.Limit > 0 && len(l.open) >= l.options.Limit {
+	if isClosed(l.aborted) || l.options.Limit > 0 && len(l.open) >= l.options.Limit {
 		return false
 	}
 	l.open[c] = struct{}{}
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -69,9 +69,11 @@
 	freed    chan struct{} // has an item after a connection was closed or became unused
 	stopping chan struct{} // closed by StopAccepting
 	accepted chan struct{} // closed once no more connections are accepted after that
+	aborted  chan struct{} // closed by Abort
 	closed   chan struct{} // closed by Close
 	stopOnce sync.Once
 	lastOnce sync.Once
+	cutOnce  sync.Once
 	endOnce  sync.Once
 	tasks    sync.WaitGroup
 	// acceptTime is how long Accept may still wait for connections after StopAccepting; only Accept uses it.
@@ -82,34 +84,29 @@
 func NewListener(listener net.Listener, options Options) *Listener {
 	return &Listener{
 		Listener: listener, options: options, open: map[*conn]struct{}{},
-		freed: make(chan struct{}, 1), stopping: make(chan struct{}), accepted: make(chan struct{}), closed: make(chan struct{}),
+		freed: make(chan struct{}, 1), stopping: make(chan struct{}), accepted: make(chan struct{}),
+		aborted: make(chan struct{}), closed: make(chan struct{}),
 		acceptTime: lastAcceptTime,
 	}
 }
 
-// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed.
+// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed or
+// after a temporary error.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.acceptNext()
-	if err != nil {
-		return nil, l.endAccepting(err)
-	}
-	c := newConn(accepted, l)
-	var victim *conn
-	for !l.add(c) {
-		if victim == nil || !l.isEnding(victim) {
-			victim = l.makeRoom()
+	for {
+		accepted, err := l.acceptNext()
+		if err != nil {
+			return nil, l.endAccepting(err)
 		}
-		if victim == nil {
-			l.options.OnFull()
+		c := newConn(accepted, l)
+		if l.waitForRoom(c) {
+			return c, nil
 		}
-		select {
-		case <-l.closed:
-			return nil, errors.Join(net.ErrClosed, accepted.Close())
-		case <-l.freed:
-		case <-time.After(fullInterval):
+		err = accepted.Close()
+		if isClosed(l.closed) {
+			return nil, errors.Join(net.ErrClosed, err)
 		}
 	}
-	return c, nil
 }
 
 // acceptNext accepts the next connection. After StopAccepting, it waits lastAcceptTime for them, in all calls together: those that
@@ -232,8 +229,13 @@
 	return isClosed(l.stopping) && !isClosed(l.accepted) && !isClosed(l.closed)
 }
 
-// Abort closes all connections at once.
+// Abort closes all connections at once, and those that are accepted later.
 func (l *Listener) Abort() {
+	l.cutOnce.Do(func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		close(l.aborted)
+	})
 	for _, c := range l.connections() {
 		c.abort()
 	}
