Report requests that got only an interim answer as unanswered

A connection whose caller had got "100 Continue" and no answer was not reported when it was closed.

Cause: the bytes of the interim answer counted as an answer.

Before: TestInterimAnswersAreNoAnswers fails in 2 of 2 runs ("the connection was not reported as closed without an answer"). After: 0 of 5 with -race.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -26,6 +27,9 @@
 // aLongTimeAgo is a read deadline that makes a waiting Read return at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// interimPrefix begins the interim answers that http.Server writes, each at once. The request's answer follows them.
+var interimPrefix = []byte("HTTP/1.1 1")
+
 // phase says what has arrived on a connection.
 type phase int
 
@@ -66,7 +70,8 @@
 	retirement retirement
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
-	// received and written are the numbers of bytes since the last answer ended, receivedAt is when the last byte arrived.
+	// received and written are the numbers of bytes since the last answer ended, without those of interim answers, receivedAt is when
+	// the last byte arrived.
 	received, written int
 	receivedAt        lovageshift.Millis
 	// answered is set once an answer has ended on the connection.
@@ -160,7 +165,9 @@
 	count, err := c.Conn.Write(part)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.written += count
+	if c.written > 0 || !bytes.HasPrefix(part, interimPrefix) {
+		c.written += count
+	}
 	return count, err
 }
 
