Let the test of a full listener order its idle connections

TestOneConnectionIsShedForOneCaller failed once: it expects that the connection that has been idle for longest is closed, and two of its connections had become idle in the same millisecond, which is as fine as the listener's clock is. The test now lets 5 ms pass between them; it checks the same.

--- a/connection/shed_test.go
+++ b/connection/shed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"lovageshift/connection"
 )
@@ -15,6 +16,7 @@
 	var callers []*caller
 	_, whole := request("/short", "")
 	for range 3 {
+		time.Sleep(5 * time.Millisecond) // the listener knows to the millisecond since when they are idle
 		c := s.dial()
 		c.send(whole)
 		c.expect(t, http.StatusOK, "/short ")
