--- a/connection/accept_test.go
+++ b/connection/accept_test.go
@@ -33,6 +33,7 @@
 
 // Guards against callers in the kernel's queue that are reset because accepting failed for a moment.
 func TestTemporaryAcceptErrors(t *testing.T) {
+	t.Parallel()
 	for _, stopping := range []bool{false, true} {
 		t.Run(map[bool]string{false: "serving", true: "stopping"}[stopping], func(t *testing.T) {
 			t.Parallel()
--- a/connection/caller_test.go
+++ b/connection/caller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -78,9 +79,8 @@
 	s.listener = connection.NewListener(accepting, options)
 	running := make(chan struct{})
 	s.finish = sync.OnceFunc(func() { close(running) })
-	s.http = &http.Server{ConnState: s.listener.ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.handle(w, r, running)
-	})}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, running) })
+	s.http = &http.Server{ConnState: s.listener.ConnState, Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
 	if configure != nil {
 		configure(s.http)
 	}
@@ -198,6 +198,10 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = raw.Close() })
+	return newCaller(s, raw)
+}
+
+func newCaller(s *server, raw net.Conn) *caller {
 	_ = raw.SetReadDeadline(time.Now().Add(2 * patience))
 	return &caller{Conn: raw, server: s, answers: bufio.NewReader(raw)}
 }
--- a/connection/crossing_test.go
+++ b/connection/crossing_test.go
@@ -50,6 +50,7 @@
 
 // Guards against a reader that ends a connection on which a request has arrived, since its last read began after its deadline.
 func TestRequestsThatCrossTheEndAreServed(t *testing.T) {
+	t.Parallel()
 	retirements := map[string]func(s *server){
 		"CloseUnused": func(s *server) {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/connection/matrix_test.go
+++ b/connection/matrix_test.go
@@ -130,6 +130,7 @@
 
 // Guards against a party that closes the connection of a caller whose request has begun to arrive, without an answer.
 func TestConnectionsEndByWhatHasArrived(t *testing.T) {
+	t.Parallel()
 	for _, closer := range closers {
 		t.Run(closer.name, func(t *testing.T) {
 			t.Parallel()
