--- a/connection/listener.go
+++ b/connection/listener.go
@@ -57,7 +57,8 @@
 // Listener accepts the connections of callers and closes those that no caller uses: for want of room, and when the process stops.
 // The server must have ConnState as its http.Server.ConnState. The connections between those that the listener returns and the
 // server's must have a method NetConn, which returns the one below, and if they hold bytes back a method Buffered, which returns
-// their number; one of them must not pass on a header before it is whole.
+// their number; one of them must not pass on a header before it is whole. The accepted connections must be TCP connections, or offer
+// SyscallConn, CloseWrite and SetLinger as these do.
 type Listener struct {
 	net.Listener
 	options Options
