--- a/connection/conn.go
+++ b/connection/conn.go
@@ -1,14 +1,18 @@
 package connection
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lovageshift"
 )
 
@@ -18,13 +22,14 @@
 	lingerTime = time.Second
 	// How long writing an answer to a header that is not whole may take. It fits into the empty buffer of the connection.
 	refusalTime = time.Second
-	// How long the reader of a connection that is to be closed looks for bytes that have arrived and were not read.
-	lastReadTime = 2 * time.Millisecond
 )
 
 // aLongTimeAgo is a read deadline that makes a waiting Read return at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// interimPrefix begins the interim answers that http.Server writes, each at once. The request's answer follows them.
+var interimPrefix = []byte("HTTP/1.1 1")
+
 // phase says what has arrived on a connection.
 type phase int
 
@@ -65,9 +70,8 @@
 	retirement retirement
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
-	// isLastRead is set while the reader looks for bytes before it ends the connection.
-	isLastRead bool
-	// received and written are the numbers of bytes since the last answer ended, receivedAt is when the last byte arrived.
+	// received and written are the numbers of bytes since the last answer ended, without those of interim answers, receivedAt is when
+	// the last byte arrived.
 	received, written int
 	receivedAt        lovageshift.Millis
 	// answered is set once an answer has ended on the connection.
@@ -116,12 +120,12 @@
 		return nil, false, err
 	case c.phase == running:
 		return nil, false, err // a deadline of the server
-	case !c.isLastRead:
-		c.isLastRead = true
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
+	case c.hasUnread():
+		_ = c.Conn.SetReadDeadline(time.Time{}) // reading returns at once
 		return nil, true, nil
 	case c.phase == unused:
 		c.setPhase(closing)
+		c.closeWrite() // the server may take its time to close the connection
 		return nil, false, io.EOF
 	case c.retirement == ifHeaderless:
 		c.setPhase(closing)
@@ -130,7 +134,7 @@
 		c.setPhase(closing)
 		return options.TooSlow, false, io.EOF
 	default: // the request began just before the connection was to be closed
-		c.retirement = stay
+		c.keep()
 		_ = c.applyDeadline()
 		return nil, true, nil
 	}
@@ -142,7 +146,7 @@
 	c.receivedAt = c.listener.options.Clock.Now()
 	if c.phase == unused {
 		if c.retirement == ifUnused {
-			c.retirement = stay
+			c.keep()
 		}
 		c.setPhase(begun)
 	}
@@ -162,7 +166,9 @@
 	count, err := c.Conn.Write(part)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.written += count
+	if c.written > 0 || !bytes.HasPrefix(part, interimPrefix) {
+		c.written += count
+	}
 	return count, err
 }
 
@@ -176,7 +182,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.retirement = stay
+		c.keep()
 		c.setPhase(running)
 	case http.StateIdle:
 		c.received, c.written, c.answered = buffered, 0, true
@@ -202,10 +208,12 @@
 	return c.applyDeadline()
 }
 
+// keep records that the connection goes on although others wanted to close it. The caller holds the mutex.
+func (c *conn) keep() { c.retirement, c.noLinger = stay, false }
+
 // applyDeadline sets the read deadline by the phase and the retirement. The caller holds the mutex.
 func (c *conn) applyDeadline() error {
 	deadline := c.deadline
-	c.isLastRead = false
 	switch {
 	case c.closed:
 		return nil // Close has set one
@@ -227,20 +235,45 @@
 	return timeout > 0 && (c.listener.options.Clock.Now()-c.since).Duration() >= timeout-time.Millisecond
 }
 
+// hasUnread reports whether reading would return at once if there were no deadline. A read whose deadline has passed before it
+// begins does not look for bytes.
+func (c *conn) hasUnread() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isEmpty := false
+	err = raw.Control(func(descriptor uintptr) {
+		_, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		isEmpty = err == unix.EAGAIN
+	})
+	return err == nil && !isEmpty
+}
+
 // retire makes the reader end the connection if it has been unused for the time or, if headerless is set, also if a part of a
 // header has arrived.
 func (c *conn) retire(headerless bool, unusedFor lovageshift.Millis) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.setRetirement(headerless, unusedFor)
+}
+
+// setRetirement does what retire says, and reports whether the reader may end the connection. The caller holds the mutex.
+func (c *conn) setRetirement(headerless bool, unusedFor lovageshift.Millis) bool {
 	switch {
 	case headerless && (c.phase == unused || c.phase == begun):
 		c.retirement = ifHeaderless
 	case c.phase == unused && c.retirement == stay && c.listener.options.Clock.Now()-c.since >= unusedFor:
 		c.retirement = ifUnused
 	default:
-		return
+		return false
 	}
 	_ = c.applyDeadline()
+	return true
 }
 
 // shedRank returns the rank of the connection among those that may be closed to make room, and whether it may be.
@@ -266,14 +299,24 @@
 // shed closes the connection to make room for another one, unless a whole header arrives on it or, if it was unused, any byte.
 func (c *conn) shed() {
 	c.mutex.Lock()
-	isClosing, isBegun := c.phase == closing, c.phase == begun
-	c.noLinger = true
+	lingers := c.phase == closing && c.closed
+	if !lingers && c.setRetirement(c.phase == begun, 0) {
+		c.noLinger = true
+	}
 	c.mutex.Unlock()
-	if isClosing {
+	if lingers {
 		c.abort()
-		return
 	}
-	c.retire(isBegun, 0)
+}
+
+// isEnding reports whether the connection is about to end and not waiting for its caller.
+func (c *conn) isEnding() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == closing {
+		return !c.closed || c.noLinger
+	}
+	return c.retirement != stay
 }
 
 // Close ends the connection for the server. Unless the caller has ended it, it stays open for a moment after its end was sent, as
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -18,8 +19,10 @@
 	unusedMillis lovageshift.Millis = 400
 	// Interval at which a stopping listener looks for unused connections, and Wait for open ones.
 	retireInterval = 20 * time.Millisecond
-	// How long a listener that stops still accepts connections that callers have already opened.
+	// How long a listener that stops waits for further connections, which callers have already opened.
 	lastAcceptTime = 50 * time.Millisecond
+	// Shortest time for which it waits for one.
+	minAcceptTime = time.Millisecond
 )
 
 // Unanswered describes a connection that this process closed although bytes of a request had arrived on it that got no answer.
@@ -54,7 +57,8 @@
 // Listener accepts the connections of callers and closes those that no caller uses: for want of room, and when the process stops.
 // The server must have ConnState as its http.Server.ConnState. The connections between those that the listener returns and the
 // server's must have a method NetConn, which returns the one below, and if they hold bytes back a method Buffered, which returns
-// their number; one of them must not pass on a header before it is whole.
+// their number; one of them must not pass on a header before it is whole. The accepted connections must be TCP connections, or offer
+// SyscallConn, CloseWrite and SetLinger as these do.
 type Listener struct {
 	net.Listener
 	options Options
@@ -65,65 +69,120 @@
 
 	freed    chan struct{} // has an item after a connection was closed or became unused
 	stopping chan struct{} // closed by StopAccepting
+	accepted chan struct{} // closed once no more connections are accepted after that
+	aborted  chan struct{} // closed by Abort
 	closed   chan struct{} // closed by Close
 	stopOnce sync.Once
+	lastOnce sync.Once
+	cutOnce  sync.Once
 	endOnce  sync.Once
 	tasks    sync.WaitGroup
+	// acceptTime is how long Accept may still wait for connections after StopAccepting; only Accept uses it.
+	acceptTime time.Duration
 }
 
 // NewListener returns a listener that accepts from the listener.
 func NewListener(listener net.Listener, options Options) *Listener {
 	return &Listener{
 		Listener: listener, options: options, open: map[*conn]struct{}{},
-		freed: make(chan struct{}, 1), stopping: make(chan struct{}), closed: make(chan struct{}),
+		freed: make(chan struct{}, 1), stopping: make(chan struct{}), accepted: make(chan struct{}),
+		aborted: make(chan struct{}), closed: make(chan struct{}),
+		acceptTime: lastAcceptTime,
 	}
 }
 
-// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed.
+// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed or
+// after a temporary error.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, l.endAccepting(err)
+	for {
+		accepted, err := l.acceptNext()
+		if err != nil {
+			return nil, l.endAccepting(err)
+		}
+		c := newConn(accepted, l)
+		if l.waitForRoom(c) {
+			return c, nil
+		}
+		err = accepted.Close()
+		if isClosed(l.closed) {
+			return nil, errors.Join(net.ErrClosed, err)
+		}
 	}
-	c := newConn(accepted, l)
-	for !l.add(c) {
-		if !l.makeRoom() {
-			l.options.OnFull()
+}
+
+// acceptNext accepts the next connection. After StopAccepting, it waits lastAcceptTime for them, in all calls together: those that
+// callers have opened while there was no room do not count.
+func (l *Listener) acceptNext() (net.Conn, error) {
+	for {
+		deadline := l.acceptDeadline()
+		begun := time.Now()
+		accepted, err := l.Listener.Accept()
+		if !deadline.IsZero() {
+			l.acceptTime -= time.Since(begun)
 		}
-		select {
-		case <-l.closed:
-			return nil, errors.Join(net.ErrClosed, accepted.Close())
-		case <-l.freed:
-		case <-time.After(fullInterval):
+		// A call that began after its deadline did not look for connections.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !isClosed(l.stopping) || begun.Before(deadline) {
+			return accepted, err
 		}
 	}
-	return c, nil
 }
 
-// endAccepting returns the error with which accepting ended. After StopAccepting it waits until the listener is closed, as a server
-// whose listener fails cannot be stopped without cutting requests.
+// acceptDeadline sets and returns the time until which to wait for the next connection, the zero time before StopAccepting.
+func (l *Listener) acceptDeadline() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	timed, ok := l.Listener.(deadliner)
+	if !ok || !isClosed(l.stopping) {
+		return time.Time{}
+	}
+	deadline := time.Now().Add(max(l.acceptTime, minAcceptTime))
+	_ = timed.SetDeadline(deadline)
+	return deadline
+}
+
+// endAccepting returns the error with which accepting failed. After StopAccepting it waits until the listener is closed, as a server
+// whose listener fails cannot be stopped without cutting requests, unless the server accepts again after the error.
 func (l *Listener) endAccepting(err error) error {
-	select {
-	case <-l.stopping:
-	default:
+	if !isClosed(l.stopping) || isTemporary(err) {
 		return err
 	}
 	err = l.Listener.Close()
+	l.lastOnce.Do(func() { close(l.accepted) })
 	<-l.closed
 	return errors.Join(net.ErrClosed, err)
 }
 
+// isTemporary reports whether http.Server accepts again after the error.
+func isTemporary(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Temporary() && !failure.Timeout()
+}
+
+// deadliner is a listener whose Accept fails from a set time on.
+type deadliner interface{ SetDeadline(time.Time) error }
+
 // StopAccepting accepts the connections that callers have already opened, and then no more.
 func (l *Listener) StopAccepting() {
 	l.stopOnce.Do(func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
 		close(l.stopping)
-		timed, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-		if !ok || timed.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
+		timed, ok := l.Listener.(deadliner)
+		if !ok || timed.SetDeadline(aLongTimeAgo) != nil { // wakes up Accept
 			_ = l.Listener.Close()
 		}
 	})
 }
 
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close closes the listener, and not its connections.
 func (l *Listener) Close() error {
 	var err error
@@ -154,9 +213,10 @@
 	}
 }
 
-// Wait waits until no connection is open, and reports whether that was before the context ended.
+// Wait waits until no connection is open and, after StopAccepting, none is left to accept. It reports whether that was before the
+// context ended.
 func (l *Listener) Wait(ctx context.Context) bool {
-	for len(l.connections()) > 0 {
+	for l.isAcceptingLast() || len(l.connections()) > 0 {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -165,8 +225,18 @@
 	return true
 }
 
-// Abort closes all connections at once.
+// isAcceptingLast reports whether connections are still accepted after StopAccepting.
+func (l *Listener) isAcceptingLast() bool {
+	return isClosed(l.stopping) && !isClosed(l.accepted) && !isClosed(l.closed)
+}
+
+// Abort closes all connections at once, and those that are accepted later.
 func (l *Listener) Abort() {
+	l.cutOnce.Do(func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		close(l.aborted)
+	})
 	for _, c := range l.connections() {
 		c.abort()
 	}
