Cut the texts of malformed answers in errors and in log lines

Targets that sent garbage in place of a response header made an entry hold it: the error of net/http quotes the line, up to 256 KiB, and the log keeps the last 2048 lines about requests, besides 4096 lines for a slow reader. The entry could exceed its VM's memory and be killed, with the requests of all other callers.

Cause: headLimiter bounds what is read, but nothing bounded the text of the error, which became the detail of the refusal, of the line and of what the log keeps.

upstream keeps 256 bytes of such an error, and the log 1 KiB of each text.

--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -57,6 +58,27 @@
 	})
 }
 
+// Guards against a target whose malformed answers fill the memory, as the lines that quote them are kept.
+func TestLinesWithLongTextsTakeLittleMemory(t *testing.T) {
+	Convey("A long text is cut in the lines that are kept", t, func() {
+		const lines, mostOfALine = 3000, 8 << 10
+		log := eventlog.New(io.Discard, "entry-1")
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range lines {
+			text := strings.Repeat("a", 128<<10)
+			log.Info("refused", "request", fmt.Sprintf("r-%d", i), "detail", text, "error", errors.New(text))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		So(int64(after.HeapAlloc)-int64(before.HeapAlloc), ShouldBeLessThan, lines*mostOfALine)
+		var out bytes.Buffer
+		So(log.WriteRecent("r-2999", &out), ShouldBeNil)
+		So(out.Len(), ShouldBeLessThan, mostOfALine)
+	})
+}
+
 func TestLog(t *testing.T) {
 	Convey("A blocked writer doesn't block the callers of Info, and dropped lines are counted", t, func() {
 		out := &blockedWriter{released: make(chan struct{})}
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,8 @@
 	maxLinesPerSecond = 300
 	// Most lines queued for a slow reader of the output; further ones are dropped and counted.
 	maxQueuedLines = 4096
+	// Longest text of a value, in bytes. Values may quote what a target or a caller sent, and many lines are kept.
+	maxTextBytes = 1 << 10
 	// Interval at which Run logs how many lines were dropped since its last report, if there are any.
 	reportInterval = time.Second
 )
@@ -55,12 +59,13 @@
 func (l *Log) CaptureKlog() { klog.SetSlogLogger(l.logger) }
 
 // Info queues one line of the event with alternating keys and values, or drops it if the event's rate limit is reached
-// or the queue is full. It never waits for the output. Lines about requests are kept as WriteRecent
+// or the queue is full. Texts longer than maxTextBytes are cut. It never waits for the output. Lines about requests are kept as WriteRecent
 // describes, even if they are dropped here.
 func (l *Log) Info(event string, keysAndValues ...any) {
 	if l == nil {
 		return
 	}
+	keysAndValues = shortened(keysAndValues)
 	l.recent.add(time.Now(), event, keysAndValues)
 	if !l.allow(event) {
 		return
@@ -68,6 +73,28 @@
 	l.logger.Info(event, keysAndValues...)
 }
 
+// shortened returns the keys and values with errors as text, and each text cut to maxTextBytes.
+func shortened(keysAndValues []any) []any {
+	short := slices.Clone(keysAndValues)
+	for i, value := range short {
+		switch value := value.(type) {
+		case string:
+			short[i] = cut(value)
+		case error:
+			short[i] = cut(value.Error())
+		}
+	}
+	return short
+}
+
+// cut returns a text of at most maxTextBytes that does not keep the memory of a longer one.
+func cut(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.Clone(text[:maxTextBytes])
+}
+
 // allow counts a line of the event and reports whether it is within the rate limit.
 func (l *Log) allow(event string) bool {
 	now := time.Now()
--- a/eventlog/recent.go
+++ b/eventlog/recent.go
@@ -78,7 +78,7 @@
 	if l == nil {
 		return ErrNoRecentLines
 	}
-	found := l.recent.forRequest(request)
+	found := l.recent.forRequest(cut(request))
 	if len(found) == 0 {
 		return ErrNoRecentLines
 	}
--- /dev/null
+++ b/process/endless_test.go
@@ -0,0 +1,196 @@
+package process_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
+
+	"lovageshift/platform"
+	"lovageshift/standin"
+)
+
+const (
+	endlessTargets = 8
+	endlessSlots   = 30
+	endlessCallers = 160 // requests at once to targets whose answers do not end
+	endlessRounds  = 3
+	endlessTimeout = 15 * time.Second
+	// The pause of a target that has sent what an entry may hold of its answer, before it goes on byte by byte. All answers of a
+	// round are then held at the same time, however fast the machine is.
+	trickleInterval = 100 * time.Millisecond
+	trickleBytes    = 30
+)
+
+// endlessAnswer is an answer that has no end: the beginning, and then a block again and again. If burst is not 0, the target sends
+// this many bytes of the blocks as fast as it can and then one at a time, and gives up after trickleBytes.
+type endlessAnswer struct {
+	name, path string
+	beginning  string // with %s for the request's id
+	block      string
+	burst      int
+}
+
+const (
+	answerHead = "HTTP/1.1 200 OK\r\n" + standin.HeaderSignature + ": s\r\n" + standin.HeaderRequestID + ": %s\r\n"
+)
+
+var endlessAnswers = []endlessAnswer{
+	{"malformed head", "/bad/x", "", strings.Repeat("\xff", 60<<10) + "\n", 0},
+}
+
+// serve answers each request on the connection.
+func (a endlessAnswer) serve(c net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	beginning := a.beginning
+	if strings.Contains(beginning, "%s") {
+		beginning = fmt.Sprintf(beginning, request.Header.Get(standin.HeaderRequestID))
+	}
+	if _, err := io.WriteString(c, beginning); err != nil {
+		return
+	}
+	block := []byte(strings.Repeat(a.block, 1+(64<<10)/len(a.block)))
+	for sent := 0; a.burst == 0 || sent < a.burst; sent += len(block) {
+		if a.burst > 0 {
+			block = block[:min(len(block), a.burst-sent)]
+		}
+		if _, err := c.Write(block); err != nil {
+			return
+		}
+	}
+	for range trickleBytes {
+		time.Sleep(trickleInterval)
+		if _, err := c.Write(block[:1]); err != nil {
+			return
+		}
+	}
+}
+
+// startEndlessTargets starts targets of the service bad and returns their addresses.
+func startEndlessTargets(t *testing.T, answer endlessAnswer) []string {
+	var tasks errgroup.Group
+	var addresses []string
+	for range endlessTargets {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		addresses = append(addresses, listener.Addr().String())
+		tasks.Go(func() error {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return nil
+				}
+				tasks.Go(func() error {
+					defer c.Close()
+					answer.serve(c)
+					return nil
+				})
+			}
+		})
+	}
+	return addresses
+}
+
+// newEndlessVM starts a store, an ordinary target of the service app and endless ones of the service bad, and returns the VM of an
+// entry.
+func newEndlessVM(t *testing.T, answer endlessAnswer) (standin.VM, string) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	store.Put(standin.ConfigKey, standin.Catalog{
+		Version: 1,
+		Routes: []standin.CatalogRoute{
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: "safe", Service: "app", Attempts: 1},
+			{Name: "bad", Host: "h", Prefix: "/bad/", Kind: "safe", Service: "bad", Attempts: 1, TargetLatencyMillis: 10000},
+			{Name: "badStream", Host: "h", Prefix: "/badStream/", Kind: "streaming", Service: "bad", Attempts: 1, TargetLatencyMillis: 10000},
+		},
+		Services: []standin.CatalogService{{Name: "app", ConnectionLimit: 100}, {Name: "bad", ConnectionLimit: 1000}},
+		Accounts: []standin.CatalogAccount{{Name: "acme", Keys: []string{"key"}}, {Name: "other", Keys: []string{"other-key"}}},
+	})
+	put := func(id, service, address string, slots int) {
+		replica := &standin.Replica{ID: id, Service: service, Slots: slots}
+		store.Put(replica.Key(), replica.Record(standin.Registration{Address: address, Zone: "zone-a", Sequence: 1}))
+	}
+	ordinary := httptest.NewServer(&standin.Replica{ID: "t-1", Service: "app", Slots: 4})
+	t.Cleanup(ordinary.Close)
+	put("t-1", "app", ordinary.Listener.Addr().String(), 4)
+	for i, address := range startEndlessTargets(t, answer) {
+		put("bad-"+strconv.Itoa(i), "bad", address, endlessSlots)
+	}
+	vm, path := newVM(t, server.Listener.Addr().String())
+	vm.MemoryMegabytes, vm.FileDescriptors = crowdMemoryMB, crowdDescriptors
+	writeSettings(t, vm, path)
+	return vm, path
+}
+
+// sendToEndless sends requests at once and returns how many got an answer that looked complete, and how many of the answers came
+// from a target or said that the outcome is not known.
+func sendToEndless(vm standin.VM, path string, round int) (complete, sent int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), endlessTimeout)
+	defer cancel()
+	var completeCount, sentCount atomic.Int64
+	var callers errgroup.Group
+	for i := range endlessCallers {
+		callers.Go(func() error {
+			request := standin.CallerRequest{ID: fmt.Sprintf("r-%d-%d", round, i), Host: "h", Method: http.MethodGet, Path: path, Key: "key"}
+			reply := standin.Send(ctx, &http.Transport{DisableKeepAlives: true}, vm.CallerAddress(), request)
+			if reply.Status == http.StatusOK && reply.Complete {
+				completeCount.Add(1)
+			}
+			if reply.Status == http.StatusOK || reply.Status == http.StatusBadGateway {
+				sentCount.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = callers.Wait()
+	return completeCount.Load(), sentCount.Load()
+}
+
+// Guards against targets that make an entry hold so much of answers without end that its VM kills it, with the requests of others.
+func TestEntryStaysWithinItsVMUnderAnswersWithoutEnd(t *testing.T) {
+	program := buildProgram(t)
+	for _, answer := range endlessAnswers {
+		t.Run(strings.ReplaceAll(answer.name, " ", "-"), func(t *testing.T) {
+			Convey("An entry stays within its VM's memory and still answers", t, func() {
+				vm, path := newEndlessVM(t, answer)
+				cmd := exec.Command(program, "gateway")
+				cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+				entry := startProcess(t, cmd)
+				waitForStatus("http://"+vm.ReadinessAddress()+"/-/ready", http.StatusOK)
+				So(answered(vm, "small"), ShouldBeTrue)
+
+				sent := int64(0)
+				for round := range endlessRounds {
+					complete, reached := sendToEndless(vm, answer.path, round)
+					So(complete, ShouldEqual, 0)
+					sent += reached
+				}
+				t.Logf("%d requests reached a target, the entry held at most %d MB", sent, entry.peakMegabytes())
+				So(sent, ShouldBeGreaterThanOrEqualTo, endlessTargets)
+				So(entry.alive(), ShouldBeTrue)
+				So(entry.peakMegabytes(), ShouldBeLessThan, crowdMemoryMB)
+				So(answered(vm, "small"), ShouldBeTrue)
+			})
+		})
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,6 +30,8 @@
 	maxBufferedBytes = 256 << 10
 	// Largest body, in bytes, of a response that is not read as events.
 	maxBodyBytes = 16 << 20
+	// Longest text of an error of net/http that is kept, in bytes.
+	maxQuotedBytes = 256
 )
 
 // Request is a request in the form in which it is sent to a target.
@@ -159,9 +161,12 @@
 
 // headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, and
 // ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
-// no type of their own.
+// no type of their own, and cuts that, as it may quote a whole line of the response.
 func headerError(err error) error {
 	text := err.Error()
+	if len(text) > maxQuotedBytes {
+		text = strings.Clone(text[:maxQuotedBytes])
+	}
 	if errors.Is(err, errHeaderTooLarge) || strings.Contains(text, "malformed") {
 		return trace.Wrap(ErrInvalidResponse, "%s", text)
 	}
