Limit the lines of a response header, and the length of its status line

Targets that sent header fields without end made an entry hold about 1 MB for each request, and those whose status line did not end a part of that, although 64 KiB are read at most. The entry could exceed its VM's memory and be killed, with the requests of all other callers.

Cause: net/http keeps each field as entries of a map, about 90 bytes besides its text, so that 64 KiB of fields of 5 bytes take 1,020,829 bytes (measured, 50 at once) and 1,758,738 are allocated; and it quotes a malformed status line in an error four times as long.

A header has at most 256 lines now and a status line of at most 4 KiB; headLimiter counts them before net/http sees them.

--- a/process/endless_test.go
+++ b/process/endless_test.go
@@ -50,6 +50,17 @@
 
 var endlessAnswers = []endlessAnswer{
 	{"malformed head", "/bad/x", "", strings.Repeat("\xff", 60<<10) + "\n", 0},
+	{"field", "/bad/x", answerHead + "X-Long: ", "a", 60 << 10},
+	{"fields", "/bad/x", answerHead, distinctFields(60 << 10), 60 << 10},
+}
+
+// distinctFields returns header fields of the size, as short as they can be.
+func distinctFields(size int) string {
+	var fields strings.Builder
+	for i := 0; fields.Len() < size; i++ {
+		fmt.Fprintf(&fields, "%x:\n", i)
+	}
+	return fields.String()
 }
 
 // serve answers each request on the connection.
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"lovageshift/standin"
 	"lovageshift/upstream"
 )
 
@@ -110,3 +111,42 @@
 		})
 	}
 }
+
+// Guards against a limit on the lines of a header that counts those of the body, or leaves out those that came with the header
+// before.
+func TestLinesOfAResponseHeaderAreLimited(t *testing.T) {
+	const mostLines = 256 // with the status line and the empty one
+	length := "Content-Length: 20000\r\n\r\n"
+	fields := func(lines int) string { return strings.Repeat("A:\n", lines-strings.Count(header+length, "\n")) }
+	body := strings.Repeat("\n", 20000)
+	late := signed + standin.HeaderRequestID + ": r0\r\nContent-Length: 2\r\n\r\n\n\n"
+	cases := map[string]struct {
+		response string
+		isValid  bool
+	}{
+		"most lines":            {header + fields(mostLines) + length + body, true},
+		"one line more":         {header + fields(mostLines+1) + length + body, false},
+		"most, after another":   {late + header + fields(mostLines) + length + body, true},
+		"one more, after":       {late + header + fields(mostLines+1) + length + body, false},
+		"longest status line":   {"HTTP/1.1 200 " + strings.Repeat("a", 4000) + header[len("HTTP/1.1 200 OK"):] + length + body, true},
+		"too long status line":  {"HTTP/1.1 200 " + strings.Repeat("a", 4096) + header[len("HTTP/1.1 200 OK"):] + length + body, false},
+		"line end before":       {"\r\n" + header + length + body, false},
+		"lines of a body alone": {header + length + body, true},
+	}
+	for name, c := range cases {
+		Convey("The lines of a header are limited: "+name, t, func() {
+			target := newConnTarget(func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, c.response)
+				}
+			})
+			err := readAll(target, false)
+			target.close()
+			if c.isValid {
+				So(err, ShouldBeNil)
+				return
+			}
+			So(errors.Is(err, upstream.ErrInvalidResponse), ShouldBeTrue)
+		})
+	}
+}
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -94,9 +94,7 @@
 	if err := c.writeRequest(request); err != nil {
 		return 0, nil, trace.Wrap(ErrConnectionLost, "write: %v", err)
 	}
-	c.head.start()
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
-	c.head.stop()
+	response, err := c.readHeader(http.MethodGet)
 	if err != nil {
 		return 0, nil, headerError(err)
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -121,9 +121,7 @@
 // readHeader reads one response header. The second result is true if the response was skipped, because it is an interim
 // one or belongs to another request.
 func (p *Pool) readHeader(c *conn, request *Request) (*TargetResponse, bool, error) {
-	c.head.start()
-	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-	c.head.stop()
+	httpResponse, err := c.readHeader(request.Method)
 	if err != nil {
 		return nil, false, headerError(err)
 	}
@@ -148,6 +146,16 @@
 	}, false, nil
 }
 
+// readHeader reads a response header, within the limits of headLimiter.
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	defer c.head.stop()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.start(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // skipLate reads a response to another request to its end. It returns an error if the next response cannot be read after
 // it: a response to a HEAD request has no body whatever its header says, but the other request may have been none.
 func skipLate(c *conn, request *Request, late *http.Response) error {
