Take an event line without end for an invalid answer, not for a lost connection

A target that sent an event line without end made the entry count a crash of the target against the request, as if its connection had been lost: after three, the request was quarantined although it had crashed nothing. The refusal named a lost connection, too.

Cause: the error of a full read buffer was passed on when a line exceeded the limit of events, and readError takes every error of reading for a lost connection.

Before: TestEventLineWithoutEndIsNoLostConnection failed, as the error matched ErrConnectionLost. After: it passes, with all tests of ./upstream with -race.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -150,3 +150,14 @@
 		})
 	}
 }
+
+// Guards against an event line without end that counts as a crash of its target, for which the request would be quarantined.
+func TestEventLineWithoutEndIsNoLostConnection(t *testing.T) {
+	Convey("An event line without end is an invalid answer", t, func() {
+		target := newEndlessTarget(header+"Transfer-Encoding: chunked\r\n\r\n10000000\r\ndata: ", "a")
+		err := readAll(target, true)
+		target.close()
+		So(errors.Is(err, upstream.ErrConnectionLost), ShouldBeFalse)
+		So(errors.Is(err, upstream.ErrInvalidResponse), ShouldBeTrue)
+	})
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -12,6 +12,9 @@
 // Largest size of an event, in bytes, with the blank line that ends it.
 const maxEventBytes = 256 << 10
 
+// errEventTooLarge is the error for an event above maxEventBytes.
+var errEventTooLarge = errors.New("the event is too large")
+
 // statusLinePrefix begins a response. A target that fails within a stream may write one there, where no event begins so.
 var statusLinePrefix = []byte("HTTP/1.")
 
@@ -34,30 +37,25 @@
 type EventReader struct {
 	reader   *bufio.Reader
 	response *TargetResponse
-	// partialLine is the part of the current line received so far. event holds the complete lines of the current event.
-	partialLine []byte
-	event       []byte
+	// event is the part of the current event received so far.
+	event []byte
 }
 
 // Next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF if the stream ends
 // after a complete event or without any event, and ErrConnectionLost if the stream ends within an event or cannot be
-// read to its end. An event above maxEventBytes, or the head of another response, is ErrInvalidResponse, or ErrConnectionLost if a single line exceeds
-// that size.
+// read to its end. An event above maxEventBytes, or the head of another response, is ErrInvalidResponse.
 func (r *EventReader) Next() (Event, error) {
 	r.event = r.event[:0]
 	var event Event
 	for {
+		begin := len(r.event)
 		line, err := r.readLine()
 		if err != nil {
 			return Event{}, r.readError(err)
 		}
-		if len(r.event) == 0 && bytes.HasPrefix(line, statusLinePrefix) {
+		if begin == 0 && bytes.HasPrefix(line, statusLinePrefix) {
 			return Event{}, trace.Wrap(ErrInvalidResponse, "another response within the stream")
 		}
-		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
-			return Event{}, trace.Wrap(ErrInvalidResponse, "an event is larger than %d bytes", maxEventBytes)
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			event.Raw = r.event
@@ -70,19 +68,18 @@
 	}
 }
 
-// readLine returns the next complete line with its line feed, or an error if the line is truncated or too long.
+// readLine adds the next line to the event and returns it with its line feed. The error is errEventTooLarge or one of reading.
 func (r *EventReader) readLine() ([]byte, error) {
-	r.partialLine = r.partialLine[:0]
+	begin := len(r.event)
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		r.partialLine = append(r.partialLine, part...)
-		if err == nil {
-			return r.partialLine, nil
-		}
-		if err != bufio.ErrBufferFull {
-			return nil, err
-		}
-		if len(r.partialLine) > maxEventBytes {
+		r.event = append(r.event, part...)
+		switch {
+		case len(r.event) > maxEventBytes:
+			return nil, errEventTooLarge
+		case err == nil:
+			return r.event[begin:], nil
+		case err != bufio.ErrBufferFull:
 			return nil, err
 		}
 	}
@@ -94,9 +91,12 @@
 // readError returns the error of Next for an error of readLine. If the stream has ended after a complete event, it
 // marks the response as complete.
 func (r *EventReader) readError(err error) error {
-	if errors.Is(err, io.EOF) && len(r.event) == 0 && len(r.partialLine) == 0 {
+	if errors.Is(err, io.EOF) && len(r.event) == 0 {
 		r.response.complete = true
 		return err
 	}
+	if errors.Is(err, errEventTooLarge) {
+		return trace.Wrap(ErrInvalidResponse, "an event is larger than %d bytes", maxEventBytes)
+	}
 	return trace.Wrap(ErrConnectionLost, "stream: %v", err)
 }
