Keep parts of targets' answers within a memory budget

Each part of an answer that an entry holds has had a limit, but their sum had none: targets that sent 250 KiB of a body, or of an event, and then went on byte by byte made an entry with many requests exceed its VM's memory, which ends the process with the requests of all its callers.

Cause: 256 KiB of each body are read before it is forwarded, and an event is held until it is whole; a header may have 64 KiB. 250 requests at once, which an entry for a VM of 64 MB accepts, hold more than the VM has.

What exceeds 8 KiB of each is reserved in a budget of a tenth of the VM's memory now, by target, so that one target leaves room for the others. A body without room is forwarded as it arrives; a header or an event without room ends the answer with memoryExhausted. The ID of an event, which is kept while its stream goes on, has at most 4 KiB.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -165,8 +165,8 @@
 }
 
 // interruptReason returns the reason for a response that did not arrive completely: the stop of the entry, the deadline, the
-// caller's withdrawal or, if the context has not ended, a lost connection.
-func (r *request) interruptReason(ctx context.Context) lovageshift.Reason {
+// caller's withdrawal or, if the context has not ended, that of the error.
+func (r *request) interruptReason(ctx context.Context, err error) lovageshift.Reason {
 	switch {
 	case errors.Is(context.Cause(ctx), ErrStopping):
 		return lovageshift.ReasonStopping
@@ -175,7 +175,7 @@
 	case ctx.Err() != nil:
 		return lovageshift.ReasonWithdrawnByCaller
 	default:
-		return lovageshift.ReasonConnectionLost
+		return lossReason(err)
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -80,7 +80,7 @@
 	default:
 		f.recordLoss(ctx, f.slot, err)
 		f.release(placement.Result{TokenMicros: f.tokenMicros(), Outcome: f.bodyErrorOutcome(ctx, err)})
-		return attemptResult{refusal: lovageshift.Unknown(f.interruptReason(ctx), err.Error())}
+		return attemptResult{refusal: lovageshift.Unknown(f.interruptReason(ctx, err), err.Error())}
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	reservations *reservation.Client
 	meter        *quota.Meter
 	budget       *memory.Budget // nil for no limit
+	answerBudget *memory.Budget
 	retryBudget  *retry.WindowBudget
 	hedges       *hedge.Policy // nil if no second attempts are sent
 	refused      *refusedRequests
@@ -113,6 +114,8 @@
 	Quota     quota.Tolerance
 	// Budget limits the memory of callers' bodies, nil for no limit.
 	Budget *memory.Budget
+	// AnswerBudget limits the memory of parts of targets' answers, nil for no limit.
+	AnswerBudget *memory.Budget
 	// Policy holds the operator's choices for requests that wait for a slot.
 	Policy placement.Policy
 	// HedgeShare is the largest share of second attempts, sent while the first one runs, in a service's safe requests; 0 for none.
@@ -153,6 +156,8 @@
 	g.reservations = reservation.NewClient(g.scheduler, options.Clock, options.Log)
 	g.scheduler.SetPolicy(options.Policy)
 	options.Tracker.OnChange(g.viewChanged)
+	g.answerBudget = options.AnswerBudget
+	g.pool.LimitMemory(g.answerBudget)
 	g.pool.OnResponse(g.observe)
 	g.pool.OnPossibleRestart(g.recordPossibleRestart)
 	return g
@@ -256,6 +261,7 @@
 		"lovageshift_log_lines_dropped": func() float64 { return float64(g.log.Dropped()) },
 		"lovageshift_body_bytes":        func() float64 { return float64(g.budget.Usage().Held) },
 		"lovageshift_bodies_reading":    func() float64 { return float64(g.budget.Usage().Bodies) },
+		"lovageshift_answer_bytes":      func() float64 { return float64(g.answerBudget.Usage().Held) },
 		"lovageshift_bodies_evicted":    func() float64 { return float64(g.budget.Usage().Evicted) },
 	}
 	for name, read := range gauges {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -267,7 +267,7 @@
 		r.runs++
 		r.checkSilent(slot)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: r.canceledOutcome(ctx)})
-		return attemptResult{refusal: lovageshift.Unknown(r.interruptReason(ctx), "no answer before it ended")}
+		return attemptResult{refusal: lovageshift.Unknown(r.interruptReason(ctx, err), "no answer before it ended")}
 	case l.canceled:
 		r.runs++
 		r.checkSilent(slot)
@@ -277,10 +277,19 @@
 		r.runs++
 		r.recordLoss(ctx, slot, err)
 		g.scheduler.Release(now, slot, placement.Result{Outcome: outcomeForError(err, placement.Failed)})
-		return attemptResult{refusal: lovageshift.Unknown(lovageshift.ReasonConnectionLost, err.Error())}
+		return attemptResult{refusal: lovageshift.Unknown(lossReason(err), err.Error())}
 	}
 }
 
+// lossReason returns the reason for a response of which the entry could not read the header or an event, and whose request has not
+// ended otherwise.
+func lossReason(err error) lovageshift.Reason {
+	if errors.Is(err, upstream.ErrNoRoom) {
+		return lovageshift.ReasonMemoryExhausted
+	}
+	return lovageshift.ReasonConnectionLost
+}
+
 // canceledOutcome returns the outcome, for the scheduler, of a request whose context ended before its response was
 // complete: Failed if the deadline passed, Abandoned if the caller canceled the request.
 func (r *request) canceledOutcome(ctx context.Context) placement.Outcome {
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -190,8 +190,11 @@
 	return b.reserve(now, r, bytes)
 }
 
-// Shrink releases some of the bytes.
+// Shrink releases some of the bytes. It may be called on nil.
 func (r *Reservation) Shrink(bytes Bytes) {
+	if r == nil {
+		return
+	}
 	b := r.budget
 	if b == nil {
 		return
--- a/memory/limits.go
+++ b/memory/limits.go
@@ -16,6 +16,7 @@
 	runtimeShare    = 0.7 // the Go runtime's memory limit
 	bodiesShare     = 0.3 // bodies of requests
 	connectionShare = 0.2 // buffers and stacks of callers' connections
+	answersShare    = 0.1 // parts of targets' answers
 	// Memory of one connection without a body: the stack of its goroutine, the buffers of net/http and of package framing, and a
 	// request header of ordinary size.
 	connectionBytes = 32 << 10
@@ -29,6 +30,8 @@
 type Limits struct {
 	// Bodies is the size of the budget for the bodies of requests.
 	Bodies Bytes
+	// Answers is the size of the budget for parts of targets' answers.
+	Answers Bytes
 	// Runtime is the limit for the Go runtime, which collects garbage more often when it comes close to it.
 	Runtime Bytes
 	// Connections is the largest number of open connections from callers.
@@ -42,6 +45,7 @@
 	limits := Limits{}
 	if vm > 0 {
 		limits.Bodies, limits.Runtime = Bytes(float64(vm)*bodiesShare), Bytes(float64(vm)*runtimeShare)
+		limits.Answers = Bytes(float64(vm) * answersShare)
 		connections = int(float64(vm) * connectionShare / connectionBytes)
 	}
 	if descriptors > 0 {
@@ -61,3 +65,11 @@
 	debug.SetMemoryLimit(int64(l.Runtime))
 	return NewBudget(l.Bodies)
 }
+
+// AnswerBudget returns the budget for parts of targets' answers, nil for no limit.
+func (l Limits) AnswerBudget() *Budget {
+	if l.Answers == 0 {
+		return nil
+	}
+	return NewBudget(l.Answers)
+}
--- a/process/endless_test.go
+++ b/process/endless_test.go
@@ -46,12 +46,20 @@
 
 const (
 	answerHead = "HTTP/1.1 200 OK\r\n" + standin.HeaderSignature + ": s\r\n" + standin.HeaderRequestID + ": %s\r\n"
+	chunkHead  = answerHead + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
 var endlessAnswers = []endlessAnswer{
 	{"malformed head", "/bad/x", "", strings.Repeat("\xff", 60<<10) + "\n", 0},
 	{"field", "/bad/x", answerHead + "X-Long: ", "a", 60 << 10},
 	{"fields", "/bad/x", answerHead, distinctFields(60 << 10), 60 << 10},
+	{"body", "/bad/x", answerHead + "Content-Length: 1000000\r\n\r\n", "a", 250 << 10},
+	{"chunks", "/bad/x", chunkHead, "400\r\n" + strings.Repeat("a", 1<<10) + "\r\n", 250 << 10},
+	{"body at full speed", "/bad/x", answerHead + "Connection: close\r\n\r\n", "a", 0},
+	{"event line", "/badStream/x", chunkHead + "10000000\r\ndata: ", "a", 250 << 10},
+	{"event lines", "/badStream/x", chunkHead + "10000000\r\n", "data: a\n", 250 << 10},
+	{"event identity", "/badStream/x", chunkHead + "10000000\r\nid: ", "1", 250 << 10},
+	{"event line at full speed", "/badStream/x", chunkHead + "10000000\r\ndata: ", "a", 0},
 }
 
 // distinctFields returns header fields of the size, as short as they can be.
@@ -192,8 +200,13 @@
 
 				sent := int64(0)
 				for round := range endlessRounds {
+					var ordinary errgroup.Group
+					ordinaryAnswered := false
+					ordinary.Go(func() error { ordinaryAnswered = answered(vm, "small"); return nil })
 					complete, reached := sendToEndless(vm, answer.path, round)
+					_ = ordinary.Wait()
 					So(complete, ShouldEqual, 0)
+					So(ordinaryAnswered, ShouldBeTrue)
 					sent += reached
 				}
 				t.Logf("%d requests reached a target, the entry held at most %d MB", sent, entry.peakMegabytes())
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -114,7 +114,7 @@
 		Quota:     quota.Tolerance{Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack},
 
 		FirstStart: settings.FirstStart,
-		Budget:     budget, HedgeShare: options.HedgeShare, Policy: options.Policy,
+		Budget:     budget, AnswerBudget: limits.AnswerBudget(), HedgeShare: options.HedgeShare, Policy: options.Policy,
 	})
 	self, err := netip.ParseAddr(settings.Host)
 	if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"lovageshift"
+	"lovageshift/memory"
 )
 
 const (
@@ -45,7 +46,9 @@
 	// head limits the bytes of a response header. The reader reads from the connection through it.
 	head   *headLimiter
 	reader *bufio.Reader
-	key    connKey
+	// body is what the body of the response that is read takes of the memory budget.
+	body holding
+	key  connKey
 	// outOfTurn is set once a response to another request than the last one was read.
 	outOfTurn bool
 	// idleSince is when the connection last became idle. maxIdle is how long after that it may stay idle before Expire
@@ -72,6 +75,18 @@
 	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), key: key}, nil
 }
 
+// limitMemory makes the connection hold responses of the target within the budget.
+func (c *conn) limitMemory(budget *memory.Budget, clock lovageshift.Clock) {
+	c.body = holding{budget: budget, clock: clock, target: c.key.id}
+	c.head.held = c.body
+}
+
+// release releases what the connection holds of the memory budget.
+func (c *conn) release() {
+	c.head.held.release()
+	c.body.release()
+}
+
 // setIdle records that the connection is idle from now on. The target ends it after the timeout, 0 for the default.
 func (c *conn) setIdle(now, timeout lovageshift.Millis) {
 	if timeout == 0 {
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -13,7 +13,10 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sync/errgroup"
 
+	"lovageshift/catalog"
+	"lovageshift/memory"
 	"lovageshift/standin"
 	"lovageshift/upstream"
 )
@@ -53,7 +56,11 @@
 func readAll(target *connTarget, asEvents bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	response, err := newPool().Send(ctx, target.registered(), 10, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+	return readAllFrom(ctx, newPool(), target.registered(), asEvents)
+}
+
+func readAllFrom(ctx context.Context, pool *upstream.Pool, target *catalog.Target, asEvents bool) error {
+	response, err := pool.Send(ctx, target, 0, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
 	if err != nil {
 		return err
 	}
@@ -161,3 +168,58 @@
 		So(errors.Is(err, upstream.ErrInvalidResponse), ShouldBeTrue)
 	})
 }
+
+// Guards against answers that each keep their limit but together take all the memory of an entry, and against memory that is not
+// given back.
+func TestAnswersTogetherStayWithinTheBudget(t *testing.T) {
+	const size, answers, sent = 1 << 20, 50, 200 << 10
+	cases := map[string]struct {
+		beginning, repeated string
+		asEvents            bool
+	}{
+		"header line": {header + "X-Long: ", "a", false},
+		"body":        {header + "Connection: close\r\n\r\n", "a", false},
+		"event line":  {header + "Transfer-Encoding: chunked\r\n\r\n10000000\r\ndata: ", "a", true},
+		"event lines": {header + "Transfer-Encoding: chunked\r\n\r\n10000000\r\n", "data: a\n", true},
+	}
+	for name, c := range cases {
+		Convey("The sum is limited, another answer arrives meanwhile, and nothing is held at the end: "+name, t, func() {
+			target := newConnTarget(func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, c.beginning+strings.Repeat(c.repeated, sent/len(c.repeated)))
+					_, _ = conn.Read(make([]byte, 1)) // until the caller closes
+				}
+			})
+			large := strings.Repeat("a", sent)
+			other := newScriptedTarget(header + "Content-Length: 204800\r\n\r\n" + large)
+			budget := memory.NewBudget(size)
+			pool := newPool()
+			pool.LimitMemory(budget)
+			var readers errgroup.Group
+			ctx, cancel := context.WithCancel(context.Background())
+			for range answers {
+				readers.Go(func() error { return readAllFrom(ctx, pool, target.registered(), c.asEvents) })
+			}
+			for end := time.Now().Add(endlessPatience); budget.Usage().Held < size/8 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			var received strings.Builder
+			response, err := pool.Send(ctx, other.target, 10, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+			So(err, ShouldBeNil)
+			beginning, complete, err := response.ReadBody()
+			So(err, ShouldBeNil)
+			received.Write(beginning)
+			if !complete {
+				So(response.CopyRest(&received), ShouldBeNil)
+			}
+			response.Close()
+			So(received.String() == large, ShouldBeTrue)
+			So(budget.Usage().Held, ShouldBeBetween, 0, size)
+			cancel()
+			So(readers.Wait(), ShouldNotBeNil)
+			So(budget.Usage().Held, ShouldEqual, 0)
+			target.close()
+			other.close()
+		})
+	}
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -9,8 +9,14 @@
 	"github.com/gravitational/trace"
 )
 
-// Largest size of an event, in bytes, with the blank line that ends it.
-const maxEventBytes = 256 << 10
+const (
+	// Largest size of an event, in bytes, with the blank line that ends it.
+	maxEventBytes = 256 << 10
+	// Largest ID of an event, in bytes. The last one is kept while the stream goes on, and sent to a target that is to go on with it.
+	maxEventIDBytes = 4 << 10
+	// Least size of the buffer of events, in bytes.
+	minEventBuffer = 512
+)
 
 // errEventTooLarge is the error for an event above maxEventBytes.
 var errEventTooLarge = errors.New("the event is too large")
@@ -43,8 +49,13 @@
 
 // Next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF if the stream ends
 // after a complete event or without any event, and ErrConnectionLost if the stream ends within an event or cannot be
-// read to its end. An event above maxEventBytes, or the head of another response, is ErrInvalidResponse.
+// read to its end. An event above maxEventBytes or with an ID above maxEventIDBytes, or the head of another response, is
+// ErrInvalidResponse. ErrNoRoom means that the memory budget has no room for the event.
 func (r *EventReader) Next() (Event, error) {
+	if cap(r.event) > readBufferBytes {
+		r.event = nil
+		r.response.conn.body.release()
+	}
 	r.event = r.event[:0]
 	var event Event
 	for {
@@ -62,21 +73,25 @@
 			return event, nil
 		}
 		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+			if len(value) > maxEventIDBytes {
+				return Event{}, trace.Wrap(ErrInvalidResponse, "the ID of an event is larger than %d bytes", maxEventIDBytes)
+			}
 			event.ID = string(bytes.TrimSpace(value))
 		}
 		event.HasData = event.HasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
-// readLine adds the next line to the event and returns it with its line feed. The error is errEventTooLarge or one of reading.
+// readLine adds the next line to the event and returns it with its line feed. The error is errEventTooLarge, ErrNoRoom or one of
+// reading.
 func (r *EventReader) readLine() ([]byte, error) {
 	begin := len(r.event)
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, part...)
+		if addErr := r.add(part); addErr != nil {
+			return nil, addErr
+		}
 		switch {
-		case len(r.event) > maxEventBytes:
-			return nil, errEventTooLarge
 		case err == nil:
 			return r.event[begin:], nil
 		case err != bufio.ErrBufferFull:
@@ -85,6 +100,23 @@
 	}
 }
 
+// add adds the bytes to the event.
+func (r *EventReader) add(part []byte) error {
+	size := len(r.event) + len(part)
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > cap(r.event) {
+		larger, err := r.response.conn.body.grow(r.event, min(max(2*cap(r.event), size, minEventBuffer), maxEventBytes))
+		if err != nil {
+			return err
+		}
+		r.event = larger
+	}
+	r.event = append(r.event, part...)
+	return nil
+}
+
 // Buffered reports whether bytes after the last event are already in the reader's buffer.
 func (r *EventReader) Buffered() bool { return r.reader.Buffered() > 0 }
 
@@ -95,6 +127,9 @@
 		r.response.complete = true
 		return err
 	}
+	if errors.Is(err, ErrNoRoom) {
+		return err
+	}
 	if errors.Is(err, errEventTooLarge) {
 		return trace.Wrap(ErrInvalidResponse, "an event is larger than %d bytes", maxEventBytes)
 	}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -11,6 +11,8 @@
 	// Most lines of a response header, as each takes about 90 bytes besides its text: a header of 64 KiB of short ones would take
 	// more than 1 MB.
 	maxHeaderLines = 256
+	// How many times its size a response header takes in memory, the lines' 90 bytes not counted.
+	headerCopies = 2
 	// Most bytes of a status line. net/http quotes a malformed one whole in its error, which takes many times its size.
 	maxStatusLineBytes = 4 << 10
 )
@@ -23,6 +25,7 @@
 // of the body that arrive with the header count too, but not their lines.
 type headLimiter struct {
 	reader  io.Reader
+	held    holding
 	limited bool
 	// left is how many more bytes may be read while limited is set.
 	left int
@@ -37,7 +40,7 @@
 // start limits what may be read from now on to maxHeaderBytes. The reader behind it has buffered some bytes already. The error is
 // errHeaderTooLarge.
 func (h *headLimiter) start(buffered []byte) error {
-	*h = headLimiter{reader: h.reader, limited: true, left: maxHeaderBytes, lines: 1}
+	*h = headLimiter{reader: h.reader, held: h.held, limited: true, left: maxHeaderBytes, lines: 1}
 	return h.count(buffered)
 }
 
@@ -68,7 +71,7 @@
 	return nil
 }
 
-// Read returns errHeaderTooLarge once a limit is reached.
+// Read returns errHeaderTooLarge once a limit is reached, and ErrNoRoom if there is no memory for the header.
 func (h *headLimiter) Read(into []byte) (int, error) {
 	if !h.limited {
 		return h.reader.Read(into)
@@ -76,6 +79,11 @@
 	if h.left == 0 {
 		return 0, errHeaderTooLarge
 	}
+	if received := maxHeaderBytes - h.left; received >= readBufferBytes {
+		if err := h.held.resize(headerCopies * (received + readBufferBytes)); err != nil {
+			return 0, err
+		}
+	}
 	count, err := h.reader.Read(into[:min(len(into), h.left)])
 	h.left -= count
 	if tooLarge := h.count(into[:count]); tooLarge != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"lovageshift"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 	"lovageshift/platform"
 )
@@ -46,6 +47,7 @@
 type Pool struct {
 	clock   lovageshift.Clock
 	metrics *metrics.Metrics
+	budget  *memory.Budget // for parts of responses, nil for no limit
 	// onResponse is the function set by OnResponse.
 	onResponse func(id lovageshift.TargetID, born int64, header platform.ResponseHeader)
 	// onPossibleRestart is the function set by OnPossibleRestart.
@@ -73,6 +75,9 @@
 	}
 }
 
+// LimitMemory limits what all responses together hold of the memory to the budget. It must be called before the first call of Send.
+func (p *Pool) LimitMemory(budget *memory.Budget) { p.budget = budget }
+
 // OnResponse sets the function that is called with the header of each response that comes from the incarnation of the target
 // to which its request was sent, also if the response is skipped or invalid. A response proves this by the ID of a request
 // that was sent there, and its status: another target answers with 421. Of interim responses, it gets the faults only. It
@@ -129,6 +134,7 @@
 		p.metrics.Add(metrics.TargetConnections, "refused", 1)
 		return nil, false, trace.Wrap(ErrNotSent, "%v", err)
 	}
+	opened.limitMemory(p.budget, p.clock)
 	p.metrics.Add(metrics.TargetConnections, "opened", 1)
 	if !opened.silent() {
 		p.discard(opened)
@@ -217,6 +223,7 @@
 }
 
 func (p *Pool) discard(c *conn) {
+	c.release()
 	_ = c.Close()
 	p.removeOpen(c.key)
 }
@@ -224,6 +231,7 @@
 // putIdle adds the connection to the idle ones, for the next request. idleTimeout is the Keep-Alive timeout that the
 // target announced, 0 if none. The connection is closed instead if that timeout is not longer than idleMargin.
 func (p *Pool) putIdle(c *conn, idleTimeout lovageshift.Millis) {
+	c.release()
 	c.setIdle(p.clock.Now(), idleTimeout)
 	if c.maxIdle <= 0 {
 		p.discard(c)
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -70,6 +70,8 @@
 	ctx        context.Context
 	// once makes further calls of Close do nothing.
 	once sync.Once
+	// beginning is how many bytes of the body ReadBody has read.
+	beginning int
 	// complete is set once the body has been read to its end.
 	complete bool
 }
@@ -167,10 +169,13 @@
 	return nil
 }
 
-// headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, and
-// ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
+// headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, ErrNoRoom
+// unchanged, and ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
 // no type of their own, and cuts that, as it may quote a whole line of the response.
 func headerError(err error) error {
+	if errors.Is(err, ErrNoRoom) {
+		return err
+	}
 	text := err.Error()
 	if len(text) > maxQuotedBytes {
 		text = strings.Clone(text[:maxQuotedBytes])
@@ -233,29 +238,63 @@
 	return out.Bytes()
 }
 
-// ReadBody reads the body into memory, up to 256 KiB. The second result reports whether that is the complete body; if it
-// is not, CopyRest forwards the rest.
+// ReadBody reads the body into memory, up to 256 KiB, or less if the memory budget has no room for that. The second result reports
+// whether that is the complete body; if it is not, CopyRest forwards the rest.
 func (r *TargetResponse) ReadBody() ([]byte, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(r.httpResponse.Body, maxBufferedBytes))
-	if err != nil {
+	body, err := r.readBeginning()
+	r.beginning = len(body)
+	switch {
+	case err == nil:
+		return body, false, nil
+	case err != io.EOF:
 		return nil, false, trace.Wrap(ErrConnectionLost, "body: %v", err)
 	}
-	// A limited reader does not tell whether the body ends at the limit.
-	r.complete = len(body) < maxBufferedBytes
-	return body, r.complete, nil
+	r.complete = true
+	return body, true, nil
+}
+
+// readBeginning reads the body until it ends, with the error io.EOF, or there is no room for more of it, without an error.
+func (r *TargetResponse) readBeginning() ([]byte, error) {
+	body := make([]byte, 0, r.firstBlock())
+	for {
+		if len(body) == cap(body) {
+			larger, err := r.conn.body.grow(body, min(max(2*cap(body), r.Length()+1), maxBufferedBytes))
+			if err != nil {
+				return body, nil
+			}
+			body = larger
+		}
+		count, err := r.httpResponse.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if err != nil {
+			return body, err
+		}
+		if len(body) == maxBufferedBytes {
+			return body, nil
+		}
+	}
+}
+
+// firstBlock returns how many bytes of the body are read before more memory is reserved.
+func (r *TargetResponse) firstBlock() int {
+	if length := r.Length(); length >= 0 {
+		return min(length+1, readBufferBytes)
+	}
+	return readBufferBytes
 }
 
 // CopyRest forwards to the writer what ReadBody has left of the body. It returns ErrInvalidResponse if the whole body is
 // larger than 16 MiB, ErrConnectionLost if it is not received to its end, and an error of the writer unchanged.
 func (r *TargetResponse) CopyRest(to io.Writer) error {
-	rest := &bodyReader{reader: io.LimitReader(r.httpResponse.Body, maxBodyBytes-maxBufferedBytes+1)}
-	count, err := io.Copy(to, rest)
+	most := int64(maxBodyBytes - r.beginning)
+	rest := &bodyReader{reader: io.LimitReader(r.httpResponse.Body, most+1)}
+	count, err := io.CopyBuffer(to, rest, make([]byte, readBufferBytes))
 	switch {
 	case rest.err != nil:
 		return trace.Wrap(ErrConnectionLost, "body: %v", rest.err)
 	case err != nil:
 		return err
-	case count > maxBodyBytes-maxBufferedBytes:
+	case count > most:
 		return trace.Wrap(ErrInvalidResponse, "the body is larger than %d bytes", maxBodyBytes)
 	}
 	r.complete = true
