Limit response headers of engines, plain services and the configuration service

An engine, a plain service or a configuration service that sent a response header without end, or interim responses, made the agent or the entry that called it read up to 10 MB, and allocate 52 to 96 MB for each call; several calls at once end the process with the requests of others. The error for a malformed line, which goes to the entry and to the caller as the refusal's message, had up to 245,866 bytes. A revision of the configuration could have any number of files of 1 MiB.

Cause: http.Transport has no limit of its own below 10 MB, and nothing bounded the sum of the files or the text of errors.

Headers have at most 64 KiB, errors of engine.Client 512 bytes of text, and the files of a revision 64 MiB together.

--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,10 @@
 	maxReportBytes  = 1 << 20
 	connectTimeout  = time.Second
 	idleConnTimeout = 90 * time.Second
+	// Most bytes of a response header. net/http reads up to 10 MB by default, which take several times as much when parsed.
+	maxHeaderBytes = 64 << 10
+	// Longest text of an error, in bytes. Errors of net/http may quote a whole line of a malformed response.
+	maxErrorBytes = 512
 )
 
 // DialFunc opens a network connection to the target's address.
@@ -51,6 +55,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -75,7 +81,7 @@
 	}
 	response, err := client.Do(outgoing)
 	if err != nil {
-		return nil, markNotSent(err)
+		return nil, markNotSent(shortError{err})
 	}
 	return &Response{
 		Status:      response.StatusCode,
@@ -102,6 +108,16 @@
 	return outgoing, nil
 }
 
+// shortError is an error whose text is cut to maxErrorBytes.
+type shortError struct{ err error }
+
+func (e shortError) Error() string {
+	text := e.err.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
+
+func (e shortError) Unwrap() error { return e.err }
+
 // markNotSent joins ErrNotSent to an error from dialling, as nothing is sent before a connection is open. It returns
 // any other error unchanged.
 func markNotSent(err error) error {
--- a/folderservice/reader.go
+++ b/folderservice/reader.go
@@ -22,6 +22,10 @@
 const (
 	// The largest response body that is read, in bytes: the content of a file, a manifest or the list of VMs.
 	maxBodyBytes = 1 << 20
+	// Most bytes of a response header. net/http reads up to 10 MB by default.
+	maxHeaderBytes = 64 << 10
+	// Most bytes of all files of a revision.
+	maxSetBytes = 64 << 20
 	// The longest duration of VMs. Watch, including the download of the files, has this long in addition to its wait.
 	callTimeout = 3 * time.Second
 )
@@ -62,7 +66,7 @@
 func NewReader(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Reader {
 	return &Reader{
 		baseURL:         "http://" + address,
-		client:          &http.Client{Transport: &http.Transport{DialContext: dial}},
+		client:          &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeaderBytes}},
 		contentByDigest: map[folder.Digest][]byte{},
 	}
 }
@@ -82,11 +86,15 @@
 	}
 	set := &folder.Set{Revision: manifest.Revision}
 	contentByDigest := map[folder.Digest][]byte{}
+	size := 0
 	for _, listed := range manifest.Files {
 		file, err := r.readFile(ctx, manifest.Revision, listed)
 		if err != nil {
 			return nil, err
 		}
+		if size += len(file.Content); size > maxSetBytes {
+			return nil, trace.BadParameter("the files of revision %d are larger than %d bytes", manifest.Revision, maxSetBytes)
+		}
 		contentByDigest[file.Digest] = file.Content
 		set.Files = append(set.Files, file)
 	}
