--- a/cmd/lovageshift/published.go
+++ b/cmd/lovageshift/published.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -25,7 +24,7 @@
 func checkStore(ctx context.Context, out io.Writer, address string) error {
 	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	view, changes, err := discovery.ReadView(timeoutCtx, platform.NewStore(&http.Transport{}), address)
+	view, changes, err := discovery.ReadView(timeoutCtx, platform.NewStore(platform.NewStoreTransport(nil)), address)
 	if err != nil {
 		return trace.Wrap(err, "read the store at %s", address)
 	}
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -16,6 +16,8 @@
 	coalesceMillis lovageshift.Millis = 500
 	// The most pages that are read of a complete list of the records. Records on later pages are ignored.
 	maxPages = 64
+	// The most bytes of records that are read of a list. Records on later pages are ignored.
+	maxListBytes = 32 << 20
 )
 
 // errNewEra is the error of a call whose response shows that the store has come back from an older copy: all records have to
@@ -38,10 +40,11 @@
 // covers reports whether a record with the key would be in the list.
 func (l listing) covers(key string) bool { return !l.isPart || key <= l.through }
 
-// readPages returns the records of the first maxPages pages in the store, or of those before a page that does not go on after
-// the page before it.
+// readPages returns the records of the first maxPages pages in the store, of those with the first maxListBytes, or of those before
+// a page that does not go on after the page before it.
 func readPages(ctx context.Context, store Store, address string) (listing, error) {
 	list := listing{isPart: true}
+	listBytes := 0
 	for pageNumber := range maxPages {
 		page, err := store.Range(ctx, address, list.through)
 		if err != nil {
@@ -63,10 +66,22 @@
 			return list, nil
 		}
 		list.through = last
+		listBytes += sizeOf(page.Items)
+		if listBytes >= maxListBytes {
+			return list, nil
+		}
 	}
 	return list, nil
 }
 
+func sizeOf(items []platform.Item) int {
+	size := 0
+	for _, item := range items {
+		size += len(item.Key) + len(item.Value)
+	}
+	return size
+}
+
 // lastKey returns the last of the keys, "" if none could be read.
 func lastKey(items []platform.Item) string {
 	last := ""
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -99,9 +99,8 @@
 	clock := lovageshift.NewClock()
 	watcher := newSettingsWatcher(path, settings, log)
 	dialer := net.Dialer{Timeout: time.Second, KeepAliveConfig: upstream.KeepAlive, Control: upstream.SetUserTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
 	tracker := discovery.NewTracker(discovery.Options{
-		Store: platform.NewStore(transport), Address: watcher.storeAddress, Clock: clock, Log: log, Metrics: m,
+		Store: platform.NewStore(platform.NewStoreTransport(dialer.DialContext)), Address: watcher.storeAddress, Clock: clock, Log: log, Metrics: m,
 		ApplyWithin: settings.Bounds.ApplyWithin,
 	})
 	bounds := settings.Bounds
