Count answers that serve holds for callers of HTTP/1.0 in the memory budget

Large answers of targets to callers of HTTP/1.0 that did not read them made an entry exceed its VM's memory, which ends the process with the requests of all other callers.

Cause: HTTP/1.0 has no chunks, so the entry holds such an answer, up to limits.answerBytes, until its size is known, and then until it is written. Nothing bounded the sum, and the buffer was copied as it grew.

The parts are held as they come, and reserved in the budget for bodies, whose owner is the caller. An answer without room ends with memoryExhausted and the outcome unknown.

--- a/entry/completions.go
+++ b/entry/completions.go
@@ -29,7 +29,8 @@
 		e.refuse(w, refusal)
 		return
 	}
-	out := newResponse(w, r, &config.Limits, p.stream)
+	out := e.newResponse(w, r, &config.Limits, p)
+	defer out.release()
 	e.finish(out, e.perform(r.Context(), p, out))
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -216,6 +216,9 @@
 	end, err := e.streamDispatch(ctx, conn, p, target, incarnation, out)
 	if err != nil {
 		e.node.Pool.Drop(conn)
+		if errors.Is(err, errAnswerNotHeld) {
+			return lovageshift.Unknown(lovageshift.ReasonMemoryExhausted, errAnswerNotHeld.Error())
+		}
 		if errors.Is(err, errCallerWrite) || callerGone(ctx) {
 			return lovageshift.Unknown(lovageshift.ReasonSlowCaller, "the caller left or reads too slowly")
 		}
--- a/entry/response.go
+++ b/entry/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"lovageshift"
 	"lovageshift/connection"
 	"lovageshift/delivery"
+	"lovageshift/memory"
 	"lovageshift/metrics"
 )
 
@@ -33,15 +35,35 @@
 	// endsWithConnection is set if the caller knows no chunks. Unless the response is streamed, its body is then held until it
 	// is complete, so that its size can be sent first. A stream of the completions API has an event that marks its end.
 	endsWithConnection bool
-	status             int    // the HTTP status of the held body
-	held               []byte // the body, nil if it is not held
+	held               *heldBody // nil if the body is not held
+	// budget is for held bodies, whose owner is the caller.
+	budget *memory.Budget
+	owner  memory.Owner
+	clock  lovageshift.Clock
 }
 
-func newResponse(w http.ResponseWriter, req *http.Request, limits *lovageshift.Limits, stream bool) *response {
+// heldBody is the body of a response that is sent once it is complete.
+type heldBody struct {
+	status   int // the HTTP status
+	parts    [][]byte
+	size     int // in bytes
+	reserved *memory.Reservation
+}
+
+// newResponse returns the response to the caller of the request. Its release must be called.
+func (e *Entry) newResponse(w http.ResponseWriter, req *http.Request, limits *lovageshift.Limits, p *pendingRequest) *response {
 	return &response{
 		writer: w, answer: delivery.New(w, req), controller: http.NewResponseController(w),
-		writeTimeout: limits.CallerIdleMillis.Duration(), stream: stream,
+		writeTimeout: limits.CallerIdleMillis.Duration(), stream: p.stream,
 		endsWithConnection: !req.ProtoAtLeast(1, 1),
+		budget:             e.options.Budget, owner: memory.OwnerOf(p.accountID(), req.RemoteAddr), clock: e.options.Clock,
+	}
+}
+
+// release releases the memory of a held body.
+func (r *response) release() {
+	if r.held != nil {
+		r.held.reserved.Release()
 	}
 }
 
@@ -55,7 +77,7 @@
 		r.writer.Header().Set(HeaderOutcome, lovageshift.OutcomeAnswered.String())
 	}
 	if r.holds() {
-		r.status, r.held = status, []byte{}
+		r.held = &heldBody{status: status}
 		return nil
 	}
 	r.begin(status, -1)
@@ -75,24 +97,47 @@
 // end sends the held body, if there is one, and ends the response as complete.
 func (r *response) end() error {
 	if r.held != nil {
-		r.begin(r.status, len(r.held))
-		if err := r.write(r.held); err != nil {
-			return err
+		r.begin(r.held.status, r.held.size)
+		for _, part := range r.held.parts {
+			if err := r.write(part); err != nil {
+				return err
+			}
 		}
 	}
 	return r.answer.End()
 }
 
 // Chunk sends a part of the body. It fails if the caller has left or reads so slowly that the write takes longer than
-// writeTimeout.
+// writeTimeout, and with errAnswerNotHeld if there is no memory for a body that is held.
 func (r *response) Chunk(data []byte) error {
-	if r.holds() {
-		r.held = append(r.held, data...)
-		return nil
+	if r.held != nil {
+		return r.hold(data)
 	}
 	return r.write(data)
 }
 
+// errAnswerNotHeld means that the memory budget has no room for an answer that must be held.
+var errAnswerNotHeld = errors.New("no memory to hold the answer for a caller of HTTP/1.0")
+
+// hold keeps a part of the body within the memory budget.
+func (r *response) hold(part []byte) error {
+	var err error
+	size := memory.Bytes(len(part))
+	if r.held.reserved == nil {
+		r.held.reserved, err = r.budget.Reserve(r.clock.Now(), r.owner, size, func() {})
+		if err == nil {
+			err = r.held.reserved.Complete()
+		}
+	} else {
+		err = r.held.reserved.Grow(r.clock.Now(), size)
+	}
+	if err != nil {
+		return errors.Join(errAnswerNotHeld, err)
+	}
+	r.held.parts, r.held.size = append(r.held.parts, part), r.held.size+len(part)
+	return nil
+}
+
 func (r *response) write(data []byte) error {
 	_ = r.controller.SetWriteDeadline(time.Now().Add(r.writeTimeout))
 	if _, err := r.answer.Write(data); err != nil {
--- a/entry/services.go
+++ b/entry/services.go
@@ -36,7 +36,8 @@
 		// with the same key can get the response.
 		ctx = context.WithoutCancel(ctx)
 	}
-	out := newResponse(w, r, &config.Limits, false)
+	out := e.newResponse(w, r, &config.Limits, p)
+	defer out.release()
 	e.finish(out, e.perform(ctx, p, out))
 }
 
--- a/process/endless_test.go
+++ b/process/endless_test.go
@@ -218,3 +218,74 @@
 		})
 	}
 }
+
+const (
+	largeAnswer  = 7 << 20 // below limits.answerBytes
+	largeCallers = 24
+	// How long callers that do not read keep their connections.
+	unreadTime = 3 * time.Second
+)
+
+// newEndlessService returns a service with answers without end, and with large ones.
+func newEndlessService() http.Handler {
+	handler := http.NewServeMux()
+	block := make([]byte, 64<<10)
+	handler.HandleFunc("/read/endless", func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})
+	handler.HandleFunc("/read/large", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, largeAnswer)) })
+	handler.Handle("/", standin.NewService())
+	return handler
+}
+
+// Guards against answers that make an entry hold so much that its VM kills it: those without end, and large ones for callers of
+// HTTP/1.0 that do not read them, whose size the entry has to know first.
+func TestServeStaysWithinItsVMUnderAnswersWithoutEnd(t *testing.T) {
+	program := buildProgram(t)
+	Convey("An entry stays within its VM's memory and still answers", t, func() {
+		entry, address := startServe(t, program, newEndlessService())
+		So(answeredAt(address, "small"), ShouldBeTrue)
+
+		var callers errgroup.Group
+		var ended atomic.Int64
+		client := http.Client{Timeout: endlessTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		for range endlessCallers {
+			callers.Go(func() error {
+				response, err := client.Post("http://"+address+"/read/endless", "text/plain", nil)
+				if err != nil {
+					return nil
+				}
+				defer response.Body.Close()
+				_, err = io.Copy(io.Discard, response.Body)
+				if response.StatusCode != http.StatusOK || err != nil {
+					ended.Add(1)
+				}
+				return nil
+			})
+		}
+		So(answeredAt(address, "small"), ShouldBeTrue)
+		_ = callers.Wait()
+		So(ended.Load(), ShouldEqual, endlessCallers)
+
+		var connections []net.Conn
+		for range largeCallers {
+			c, err := net.Dial("tcp", address)
+			So(err, ShouldBeNil)
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			_, err = io.WriteString(c, "POST /read/large HTTP/1.0\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+			So(err, ShouldBeNil)
+			connections = append(connections, c)
+		}
+		time.Sleep(unreadTime)
+		So(answeredAt(address, "small"), ShouldBeTrue)
+		closeAll(connections)
+		t.Logf("the entry held at most %d MB", entry.peakMegabytes())
+		So(entry.alive(), ShouldBeTrue)
+		So(entry.peakMegabytes(), ShouldBeLessThan, crowdMemoryMB)
+		So(answeredAt(address, "small"), ShouldBeTrue)
+	})
+}
--- a/process/servecrowd_test.go
+++ b/process/servecrowd_test.go
@@ -51,8 +51,8 @@
 folder = "%[2]s"
 `
 
-// startServe starts a service, its agent and an entry that reaches it through the agent, and returns the entry.
-func startServe(t *testing.T, program string) (entry *entryProcess, address string) {
+// startServe starts the service, its agent and an entry that reaches it through the agent, and returns the entry.
+func startServe(t *testing.T, program string, service http.Handler) (entry *entryProcess, address string) {
 	vm, _ := newVM(t, "")
 	folder := t.TempDir()
 	files := map[string]string{
@@ -65,7 +65,7 @@
 		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	host := standin.NewHost(link.NewNetwork(link.Plaintext()), vm.Host+":9001", standin.NewService())
+	host := standin.NewHost(link.NewNetwork(link.Plaintext()), vm.Host+":9001", service)
 	if err := host.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 		}
 		t.Run(crowd.name, func(t *testing.T) {
 			Convey("An entry stays within its VM's limits and still answers", t, func() {
-				entry, address := startServe(t, program)
+				entry, address := startServe(t, program, standin.NewService())
 				So(answeredAt(address, "small"), ShouldBeTrue)
 
 				connections := sendCrowd(address, "", crowd.size, crowd.caller)
