Show with tests what targets may send without end at more places

No test covered the bodies of refusals and failures, comments, the reports by which an entry sees that a target still runs, and bytes after the end of an answer on a kept connection.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -15,6 +15,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
+	"lovageshift"
 	"lovageshift/catalog"
 	"lovageshift/memory"
 	"lovageshift/standin"
@@ -99,6 +100,9 @@
 		"chunks":              {chunked, "1000\r\n" + strings.Repeat("a", 4096) + "\r\n", false},
 		"event line":          {chunked + "10000000\r\ndata: ", "a", true},
 		"event lines":         {chunked + "10000000\r\n", "data: a\n", true},
+		"refusal's body":      {"HTTP/1.1 503 Busy\r\nLovageshift-Request-Id: r1\r\n" + standin.HeaderNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n10000000\r\n", "a", false},
+		"failure's body":      {"HTTP/1.1 500 Failed\r\nLovageshift-Request-Id: r1\r\nConnection: close\r\n\r\n", "a", false},
+		"comments":            {chunked + "10000000\r\n", ":\n", true},
 		"late response":       {"HTTP/1.1 200 OK\r\nLovageshift-Request-Id: r0\r\nConnection: close\r\n\r\n", "a", false},
 	}
 	for name, c := range cases {
@@ -223,3 +227,51 @@
 		})
 	}
 }
+
+// Guards against a report without end, which an entry reads to see whether a target still runs.
+func TestReportsWithoutEndAreGivenUp(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	cases := map[string]struct{ beginning, repeated string }{
+		"status line": {"HTTP/1.1 200 ", "a"},
+		"header line": {head + "X-Long: ", "a"},
+		"header":      {head, "X-Many: 1\r\n"},
+		"body":        {head + "Connection: close\r\n\r\n{\"born\":1,\"a\":\"", "a"},
+		"spaces":      {head + "Connection: close\r\n\r\n", " "},
+		"chunks":      {head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("a", 4096) + "\r\n"},
+	}
+	for name, c := range cases {
+		Convey("A report without end is no report, and takes little memory: "+name, t, func() {
+			target := newEndlessTarget(c.beginning, c.repeated)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := upstream.Born(context.Background(), target.registered())
+			runtime.ReadMemStats(&after)
+			target.close()
+			So(err, ShouldNotBeNil)
+			So(after.TotalAlloc-before.TotalAlloc, ShouldBeLessThan, endlessAllocation)
+		})
+	}
+}
+
+// Guards against bytes after the end of an answer that are kept, or taken for the answer to the next request.
+func TestBytesAfterAnAnswerAreDropped(t *testing.T) {
+	Convey("The next request is answered on another connection", t, func() {
+		target := newEndlessTarget(header+"Content-Length: 2\r\n\r\nok", header+"Content-Length: 2\r\n\r\nno")
+		pool := newPool()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range 20 {
+			response, err := pool.Send(context.Background(), target.registered(), 1, &upstream.Request{ID: "r1", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+			So(err, ShouldBeNil)
+			body, complete, err := response.ReadBody()
+			So(err, ShouldBeNil)
+			So(complete, ShouldBeTrue)
+			So(string(body), ShouldEqual, "ok")
+			response.Close()
+		}
+		runtime.ReadMemStats(&after)
+		pool.Expire(func(lovageshift.TargetID, int64) bool { return false })
+		target.close()
+		So(after.TotalAlloc-before.TotalAlloc, ShouldBeLessThan, endlessAllocation)
+	})
+}
