Limit the answers that show and where read

A process whose answer to an operator did not end made `show` and `where` hold all of it, for up to the 5 s that they wait.

Cause: both read the body with io.ReadAll without a limit. They read at most 4 MiB now.

--- a/cmd/lovageshift/show.go
+++ b/cmd/lovageshift/show.go
@@ -46,7 +46,7 @@
 		return trace.Wrap(err, "reach the process")
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := readAnswer(response.Body)
 	if err != nil {
 		return trace.Wrap(err, "read the status")
 	}
@@ -57,3 +57,15 @@
 	_, err = fmt.Fprint(out, indented.String())
 	return err
 }
+
+// maxAnswerBytes is the size of the largest answer of a process to an operator that is read.
+const maxAnswerBytes = 4 << 20
+
+// readAnswer reads the answer of a process to an operator.
+func readAnswer(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+	if err == nil && len(content) > maxAnswerBytes {
+		err = trace.BadParameter("the answer is larger than %d bytes", maxAnswerBytes)
+	}
+	return content, err
+}
--- a/cmd/lovageshift/where.go
+++ b/cmd/lovageshift/where.go
@@ -115,7 +115,7 @@
 		return answer, trace.Wrap(err, "reach the entry at %s", address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := readAnswer(response.Body)
 	if err != nil {
 		return answer, trace.Wrap(err, "read the answer of %s", address)
 	}
