--- a/standin/engine.go
+++ b/standin/engine.go
@@ -147,6 +147,10 @@
 	// EngineFaultNoEndMarker ends every stream before its third token: the HTTP response is complete, but the stream's
 	// end marker is missing. Answers that are not streamed are correct.
 	EngineFaultNoEndMarker
+	// EngineFaultEndlessEvent answers with a stream of one event, of which it sends 64 MiB.
+	EngineFaultEndlessEvent
+	// EngineFaultEndlessComments answers with a stream of 64 MiB of comments.
+	EngineFaultEndlessComments
 )
 
 // NewEngine returns an engine, which starts cold if its profile has a ColdLimit. Its stream ids begin with its name. It
--- a/standin/handler.go
+++ b/standin/handler.go
@@ -15,7 +15,7 @@
 	"lovageshift/engine"
 )
 
-// oversizedBytes is the size of an answer with EngineFaultTooLarge.
+// oversizedBytes is the size of an answer with EngineFaultTooLarge and of endless ones.
 const oversizedBytes = 64 << 20
 
 // Handler returns the handler of the engine's HTTP interface: completions, resumption, load and cache reports, orders.
@@ -82,7 +82,14 @@
 	case EngineFaultMalformed:
 		_, _ = io.WriteString(w, "data: {not json\n\n<<<")
 	case EngineFaultTooLarge:
-		writeOversized(w, r)
+		writeOversized(w, r, "data: {\"choices\":[{\"delta\":{\"content\":\""+strings.Repeat("x", 8192)+"\"}}]}\n\n")
+	case EngineFaultEndlessEvent:
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: ")
+		writeOversized(w, r, strings.Repeat("x", 8192))
+	case EngineFaultEndlessComments:
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeOversized(w, r, strings.Repeat(":\n\n", 2048))
 	case EngineFaultNoResponse:
 		<-r.Context().Done()
 	case EngineFaultServerError:
@@ -93,11 +100,10 @@
 	return true
 }
 
-// writeOversized writes 64 MiB of events; it stops early if the request is cancelled.
-func writeOversized(w http.ResponseWriter, r *http.Request) {
-	line := "data: {\"choices\":[{\"delta\":{\"content\":\"" + strings.Repeat("x", 8192) + "\"}}]}\n\n"
-	for sent := 0; sent < oversizedBytes && r.Context().Err() == nil; sent += len(line) {
-		if _, err := io.WriteString(w, line); err != nil {
+// writeOversized writes 64 MiB of the text; it stops early if the request is cancelled.
+func writeOversized(w http.ResponseWriter, r *http.Request, text string) {
+	for sent := 0; sent < oversizedBytes && r.Context().Err() == nil; sent += len(text) {
+		if _, err := io.WriteString(w, text); err != nil {
 			return
 		}
 	}
