--- a/process/crowd_test.go
+++ b/process/crowd_test.go
@@ -49,6 +49,9 @@
 
 const gatewayIdentity = standin.HeaderRequestID + ": crowd\r\nAuthorization: Token key\r\n"
 
+// crowdLimits are the limits of the VMs in their settings.
+var crowdLimits = standin.VM{MemoryMegabytes: crowdMemoryMB, FileDescriptors: crowdDescriptors}
+
 // crowdMemoryVariable gives a process as much memory of the machine as a VM of the tests has.
 var crowdMemoryVariable = fmt.Sprintf("GOMEMLIMIT=%dMiB", crowdMemoryMB)
 
--- a/process/gateway.go
+++ b/process/gateway.go
@@ -101,9 +101,8 @@
 	clock := lovageshift.NewClock()
 	watcher := newSettingsWatcher(path, settings, log)
 	dialer := net.Dialer{Timeout: time.Second, KeepAliveConfig: upstream.KeepAlive, Control: upstream.SetUserTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
 	tracker := discovery.NewTracker(discovery.Options{
-		Store: platform.NewStore(transport), Address: watcher.storeAddress, Clock: clock, Log: log, Metrics: m,
+		Store: platform.NewStore(platform.NewStoreTransport(dialer.DialContext)), Address: watcher.storeAddress, Clock: clock, Log: log, Metrics: m,
 		ApplyWithin: settings.Bounds.ApplyWithin,
 	})
 	bounds := settings.Bounds
@@ -116,7 +115,7 @@
 		Quota:     quota.Tolerance{Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack},
 
 		FirstStart: settings.FirstStart,
-		Budget:     budget, HedgeShare: options.HedgeShare, Policy: options.Policy,
+		Budget:     budget, AnswerBudget: limits.AnswerBudget(), HedgeShare: options.HedgeShare, Policy: options.Policy,
 	})
 	self, err := netip.ParseAddr(settings.Host)
 	if err != nil {
--- a/process/servecrowd_test.go
+++ b/process/servecrowd_test.go
@@ -51,8 +51,10 @@
 folder = "%[2]s"
 `
 
-// startServe starts a service, its agent and an entry on the VM that reaches it through the agent, and returns the entry.
-func startServe(t *testing.T, program string, limits standin.VM, environment ...string) (entry *entryProcess, address string) {
+// startServe starts the service, its agent and an entry on the VM that reaches it through the agent, and returns the entry.
+func startServe(
+	t *testing.T, program string, service http.Handler, limits standin.VM, environment ...string,
+) (entry *entryProcess, address string) {
 	vm, _ := newVM(t, "")
 	folder := t.TempDir()
 	files := map[string]string{
@@ -65,7 +67,7 @@
 		}
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	host := standin.NewHost(link.NewNetwork(link.Plaintext()), vm.Host+":9001", standin.NewService())
+	host := standin.NewHost(link.NewNetwork(link.Plaintext()), vm.Host+":9001", service)
 	if err := host.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -114,8 +116,7 @@
 		}
 		t.Run(crowd.name, func(t *testing.T) {
 			Convey("An entry stays within its VM's limits and still answers", t, func() {
-				limits := standin.VM{MemoryMegabytes: crowdMemoryMB, FileDescriptors: crowdDescriptors}
-				entry, address := startServe(t, program, limits)
+				entry, address := startServe(t, program, standin.NewService(), crowdLimits)
 				So(answeredAt(address, "small"), ShouldBeTrue)
 
 				connections := sendCrowd(address, "", crowd.size, crowd.caller)
@@ -129,7 +130,7 @@
 func TestServeWithoutLimitsInItsSettingsStaysWithinItsShareOfTheMachineUnderCrowds(t *testing.T) {
 	program := buildProgram(t)
 	Convey("An entry stays within its share of the machine and still answers", t, func() {
-		entry, address := startServe(t, program, standin.VM{}, crowdMemoryVariable)
+		entry, address := startServe(t, program, standin.NewService(), standin.VM{}, crowdMemoryVariable)
 		So(answeredAt(address, "small"), ShouldBeTrue)
 
 		connections := sendCrowd(address, "", crowdSize, declared(crowdBodyLimit, crowdBodyLimit-heldBackBytes, len(crowdFiller)))
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -9,8 +9,17 @@
 	"github.com/gravitational/trace"
 )
 
-// Largest size of an event, in bytes, with the blank line that ends it.
-const maxEventBytes = 256 << 10
+const (
+	// Largest size of an event, in bytes, with the blank line that ends it.
+	maxEventBytes = 256 << 10
+	// Largest ID of an event, in bytes. The last one is kept while the stream goes on, and sent to a target that is to go on with it.
+	maxEventIDBytes = 4 << 10
+	// Least size of the buffer of events, in bytes.
+	minEventBuffer = 512
+)
+
+// errEventTooLarge is the error for an event above maxEventBytes.
+var errEventTooLarge = errors.New("the event is too large")
 
 // statusLinePrefix begins a response. A target that fails within a stream may write one there, where no event begins so.
 var statusLinePrefix = []byte("HTTP/1.")
@@ -34,58 +43,78 @@
 type EventReader struct {
 	reader   *bufio.Reader
 	response *TargetResponse
-	// partialLine is the part of the current line received so far. event holds the complete lines of the current event.
-	partialLine []byte
-	event       []byte
+	// event is the part of the current event received so far.
+	event []byte
 }
 
 // Next returns the next complete event, whose bytes are valid until the next call. It returns io.EOF if the stream ends
 // after a complete event or without any event, and ErrConnectionLost if the stream ends within an event or cannot be
-// read to its end. An event above maxEventBytes, or the head of another response, is ErrInvalidResponse, or ErrConnectionLost if a single line exceeds
-// that size.
+// read to its end. An event above maxEventBytes or with an ID above maxEventIDBytes, or the head of another response, is
+// ErrInvalidResponse. ErrNoRoom means that the memory budget has no room for the event.
 func (r *EventReader) Next() (Event, error) {
+	if cap(r.event) > readBufferBytes {
+		r.event = nil
+		r.response.conn.body.release()
+	}
 	r.event = r.event[:0]
 	var event Event
 	for {
+		begin := len(r.event)
 		line, err := r.readLine()
 		if err != nil {
 			return Event{}, r.readError(err)
 		}
-		if len(r.event) == 0 && bytes.HasPrefix(line, statusLinePrefix) {
+		if begin == 0 && bytes.HasPrefix(line, statusLinePrefix) {
 			return Event{}, trace.Wrap(ErrInvalidResponse, "another response within the stream")
 		}
-		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
-			return Event{}, trace.Wrap(ErrInvalidResponse, "an event is larger than %d bytes", maxEventBytes)
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			event.Raw = r.event
 			return event, nil
 		}
 		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+			if len(value) > maxEventIDBytes {
+				return Event{}, trace.Wrap(ErrInvalidResponse, "the ID of an event is larger than %d bytes", maxEventIDBytes)
+			}
 			event.ID = string(bytes.TrimSpace(value))
 		}
 		event.HasData = event.HasData || bytes.HasPrefix(text, []byte("data"))
 	}
 }
 
-// readLine returns the next complete line with its line feed, or an error if the line is truncated or too long.
+// readLine adds the next line to the event and returns it with its line feed. The error is errEventTooLarge, ErrNoRoom or one of
+// reading.
 func (r *EventReader) readLine() ([]byte, error) {
-	r.partialLine = r.partialLine[:0]
+	begin := len(r.event)
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		r.partialLine = append(r.partialLine, part...)
-		if err == nil {
-			return r.partialLine, nil
+		if addErr := r.add(part); addErr != nil {
+			return nil, addErr
 		}
-		if err != bufio.ErrBufferFull {
+		switch {
+		case err == nil:
+			return r.event[begin:], nil
+		case err != bufio.ErrBufferFull:
 			return nil, err
 		}
-		if len(r.partialLine) > maxEventBytes {
-			return nil, err
+	}
+}
+
+// add adds the bytes to the event.
+func (r *EventReader) add(part []byte) error {
+	size := len(r.event) + len(part)
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > cap(r.event) {
+		larger, err := r.response.conn.body.grow(r.event, min(max(2*cap(r.event), size, minEventBuffer), maxEventBytes))
+		if err != nil {
+			return err
 		}
+		r.event = larger
 	}
+	r.event = append(r.event, part...)
+	return nil
 }
 
 // Buffered reports whether bytes after the last event are already in the reader's buffer.
@@ -94,9 +123,15 @@
 // readError returns the error of Next for an error of readLine. If the stream has ended after a complete event, it
 // marks the response as complete.
 func (r *EventReader) readError(err error) error {
-	if errors.Is(err, io.EOF) && len(r.event) == 0 && len(r.partialLine) == 0 {
+	if errors.Is(err, io.EOF) && len(r.event) == 0 {
 		r.response.complete = true
 		return err
 	}
+	if errors.Is(err, ErrNoRoom) {
+		return err
+	}
+	if errors.Is(err, errEventTooLarge) {
+		return trace.Wrap(ErrInvalidResponse, "an event is larger than %d bytes", maxEventBytes)
+	}
 	return trace.Wrap(ErrConnectionLost, "stream: %v", err)
 }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,6 +30,8 @@
 	maxBufferedBytes = 256 << 10
 	// Largest body, in bytes, of a response that is not read as events.
 	maxBodyBytes = 16 << 20
+	// Longest text of an error of net/http that is kept, in bytes.
+	maxQuotedBytes = 256
 )
 
 // Request is a request in the form in which it is sent to a target.
@@ -68,6 +70,8 @@
 	ctx        context.Context
 	// once makes further calls of Close do nothing.
 	once sync.Once
+	// beginning is how many bytes of the body ReadBody has read.
+	beginning int
 	// complete is set once the body has been read to its end.
 	complete bool
 }
@@ -119,9 +123,7 @@
 // readHeader reads one response header. The second result is true if the response was skipped, because it is an interim
 // one or belongs to another request.
 func (p *Pool) readHeader(c *conn, request *Request) (*TargetResponse, bool, error) {
-	c.head.start()
-	httpResponse, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
-	c.head.stop()
+	httpResponse, err := c.readHeader(request.Method)
 	if err != nil {
 		return nil, false, headerError(err)
 	}
@@ -146,6 +148,16 @@
 	}, false, nil
 }
 
+// readHeader reads a response header, within the limits of headLimiter.
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	defer c.head.stop()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.start(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // skipLate reads a response to another request to its end. It returns an error if the next response cannot be read after
 // it: a response to a HEAD request has no body whatever its header says, but the other request may have been none.
 func skipLate(c *conn, request *Request, late *http.Response) error {
@@ -157,11 +169,17 @@
 	return nil
 }
 
-// headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, and
-// ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
-// no type of their own.
+// headerError returns ErrInvalidResponse if the response header is too large or net/http reports it as malformed, ErrNoRoom
+// unchanged, and ErrConnectionLost for any other error of reading it. It searches the error's text, as most of net/http's errors have
+// no type of their own, and cuts that, as it may quote a whole line of the response.
 func headerError(err error) error {
+	if errors.Is(err, ErrNoRoom) {
+		return err
+	}
 	text := err.Error()
+	if len(text) > maxQuotedBytes {
+		text = strings.Clone(text[:maxQuotedBytes])
+	}
 	if errors.Is(err, errHeaderTooLarge) || strings.Contains(text, "malformed") {
 		return trace.Wrap(ErrInvalidResponse, "%s", text)
 	}
@@ -220,29 +238,63 @@
 	return out.Bytes()
 }
 
-// ReadBody reads the body into memory, up to 256 KiB. The second result reports whether that is the complete body; if it
-// is not, CopyRest forwards the rest.
+// ReadBody reads the body into memory, up to 256 KiB, or less if the memory budget has no room for that. The second result reports
+// whether that is the complete body; if it is not, CopyRest forwards the rest.
 func (r *TargetResponse) ReadBody() ([]byte, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(r.httpResponse.Body, maxBufferedBytes))
-	if err != nil {
+	body, err := r.readBeginning()
+	r.beginning = len(body)
+	switch {
+	case err == nil:
+		return body, false, nil
+	case err != io.EOF:
 		return nil, false, trace.Wrap(ErrConnectionLost, "body: %v", err)
 	}
-	// A limited reader does not tell whether the body ends at the limit.
-	r.complete = len(body) < maxBufferedBytes
-	return body, r.complete, nil
+	r.complete = true
+	return body, true, nil
+}
+
+// readBeginning reads the body until it ends, with the error io.EOF, or there is no room for more of it, without an error.
+func (r *TargetResponse) readBeginning() ([]byte, error) {
+	body := make([]byte, 0, r.firstBlock())
+	for {
+		if len(body) == cap(body) {
+			larger, err := r.conn.body.grow(body, min(max(2*cap(body), r.Length()+1), maxBufferedBytes))
+			if err != nil {
+				return body, nil
+			}
+			body = larger
+		}
+		count, err := r.httpResponse.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if err != nil {
+			return body, err
+		}
+		if len(body) == maxBufferedBytes {
+			return body, nil
+		}
+	}
+}
+
+// firstBlock returns how many bytes of the body are read before more memory is reserved.
+func (r *TargetResponse) firstBlock() int {
+	if length := r.Length(); length >= 0 {
+		return min(length+1, readBufferBytes)
+	}
+	return readBufferBytes
 }
 
 // CopyRest forwards to the writer what ReadBody has left of the body. It returns ErrInvalidResponse if the whole body is
 // larger than 16 MiB, ErrConnectionLost if it is not received to its end, and an error of the writer unchanged.
 func (r *TargetResponse) CopyRest(to io.Writer) error {
-	rest := &bodyReader{reader: io.LimitReader(r.httpResponse.Body, maxBodyBytes-maxBufferedBytes+1)}
-	count, err := io.Copy(to, rest)
+	most := int64(maxBodyBytes - r.beginning)
+	rest := &bodyReader{reader: io.LimitReader(r.httpResponse.Body, most+1)}
+	count, err := io.CopyBuffer(to, rest, make([]byte, readBufferBytes))
 	switch {
 	case rest.err != nil:
 		return trace.Wrap(ErrConnectionLost, "body: %v", rest.err)
 	case err != nil:
 		return err
-	case count > maxBodyBytes-maxBufferedBytes:
+	case count > most:
 		return trace.Wrap(ErrInvalidResponse, "the body is larger than %d bytes", maxBodyBytes)
 	}
 	r.complete = true
