Ask to close the connection with every answer that begins during a stop

A caller whose request arrived before the stop and was answered during it was not told that the entry stops, and could use the connection again while it was being closed. Cause: the header was set when the request arrived. It is set now when the answer begins, for refusals, too. TestAnswersThatBeginDuringAStopAskToCloseTheConnection failed before.

The last look for bytes takes only what it has seen for bytes: an error that is not the lack of bytes made the reader wait without a deadline. That was found by reading.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -235,7 +235,7 @@
 	return timeout > 0 && (c.listener.options.Clock.Now()-c.since).Duration() >= timeout-time.Millisecond
 }
 
-// hasUnread reports whether reading would return at once if there were no deadline. A read whose deadline has passed before it
+// hasUnread reports whether bytes or the caller's end have arrived that were not read. A read whose deadline has passed before it
 // begins does not look for bytes.
 func (c *conn) hasUnread() bool {
 	inner, ok := c.Conn.(syscall.Conn)
@@ -246,12 +246,11 @@
 	if err != nil {
 		return false
 	}
-	isEmpty := false
+	var peeked error
 	err = raw.Control(func(descriptor uintptr) {
-		_, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isEmpty = err == unix.EAGAIN
+		_, _, peeked = unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && !isEmpty
+	return err == nil && peeked == nil
 }
 
 // retire makes the reader end the connection if it has been unused for the time or, if headerless is set, also if a part of a
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -43,7 +43,7 @@
 	Clock lovageshift.Clock
 	// Limit is the largest number of open connections, 0 for any number.
 	Limit int
-	// HeaderTimeout is how long a caller may take from the first byte of a request's header to the last.
+	// HeaderTimeout is how long a caller may take from the first byte of a request's header to the last, 0 for no bound.
 	HeaderTimeout time.Duration
 	// OnFull is called repeatedly while the limit is reached and no connection can be closed.
 	OnFull func()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -151,6 +151,7 @@
 	if response.Header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil // keeps net/http from adding one
 	}
+	r.gateway.closeIfDraining(header)
 	r.summary.status = response.Status
 	if err := r.answer.Begin(response.Status, length); err != nil {
 		r.gateway.log.Info("connectionNotReset", "request", r.headers.ID, "error", oneLine(err.Error()))
@@ -207,6 +208,7 @@
 	header := r.w.Header()
 	platform.SetRequestID(header, r.headers.ID)
 	setRefusalHeader(header, refusal)
+	r.gateway.closeIfDraining(header)
 	r.summary.status = statusOf(refusal)
 	r.w.WriteHeader(r.summary.status)
 	_, _ = io.WriteString(r.w, refusalBody(refusal))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,10 +217,17 @@
 	return defaultHeaderBytes
 }
 
-// Drain makes the gateway report that it is not ready, and close each caller's connection after the response to the
-// next request on it. Requests are still served.
+// Drain makes the gateway report that it is not ready, and close each caller's connection after the answer that begins next on it.
+// Requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// closeIfDraining adds to the header of an answer that the caller's connection is closed after it, if the gateway drains.
+func (g *Gateway) closeIfDraining(header http.Header) {
+	if g.draining.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // RefuseNew makes the gateway refuse all requests that arrive from now on, reporting them as not run; requests in
 // progress continue.
 func (g *Gateway) RefuseNew() { g.refusingNew.Store(true) }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -101,9 +101,6 @@
 // the request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r := &request{gateway: g, w: w, req: req, path: req.URL.EscapedPath(), arrived: g.clock.Now(), answer: delivery.New(w, req)}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer func() { r.held.Release() }()
 	headers, found := platform.ParseRequestHeader(req.Header)
 	r.headers = headers
--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -185,3 +185,21 @@
 		So(tasks.Wait(), ShouldBeNil)
 	})
 }
+
+// Guards against callers that use a connection again although the entry has begun to stop before its answer.
+func TestAnswersThatBeginDuringAStopAskToCloseTheConnection(t *testing.T) {
+	Convey("A request that arrived before the stop is answered during it", t, func() {
+		replica := &standin.Replica{ID: "t-1", Service: "app", Slots: 1, ServiceTime: 300 * time.Millisecond}
+		e := startPlatformEntry(t, replica)
+		defer e.end()
+		connection, err := net.Dial("tcp", e.vm.CallerAddress())
+		So(err, ShouldBeNil)
+		defer func() { _ = connection.Close() }()
+		_, _ = io.WriteString(connection, "POST /book/r1 HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: r1\r\nContent-Length: 4\r\n\r\nbody")
+		time.Sleep(100 * time.Millisecond)
+		e.stop()
+		closes, problem := readAnswer(connection, bufio.NewReader(connection))
+		So(problem, ShouldBeEmpty)
+		So(closes, ShouldBeTrue)
+	})
+}
