Send requests in parts in the soak, at each moment of a stop

Beside each caller, another one now holds raw connections to an entry, past its proxy: silent, answered and silent, or with half a header, a header, or a header and half a body of a request. It goes on at random moments and uses a connection until it ends. The new check BegunAnswered wants a whole answer to each request of which the first byte was sent more than 5 ms before the connection ended, unless the entry was killed or paused.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -48,6 +48,7 @@
 	flags.BoolVar(&options.Ends, "ends", false, "add answers that end with their connection, callers of HTTP/1.0 and a short grace period")
 	flags.BoolVar(&options.Stalls, "stalls", false,
 		"add callers that hold back the ends of their bodies, and limits for memory and descriptors")
+	flags.BoolVar(&options.Stops, "stops", false, "add series of stops and reloads of entries")
 	flags.StringVar(&options.Program, "program", "", "path of the lovageshift program")
 	flags.StringVar(&options.Folder, "folder", "", "folder for settings and logs (default a new temporary one)")
 	root.AddCommand(command.Version(root.Name()))
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -55,6 +55,40 @@
 	Ended lovageshift.Millis
 	// Abandoned marks a request that the caller cancels abandonAfter it was sent, if the response has not ended by then.
 	Abandoned bool
+	// Parts is set if the request was sent in two parts (partCaller). Sent is then when the first one was.
+	Parts *Parts
+}
+
+// Parts describes how a request was sent in two parts.
+type Parts struct {
+	// First and Length are the lengths of the first part and of the request, in bytes.
+	First, Length int
+	// Rest is when the second part was sent, 0 if it was not.
+	Rest lovageshift.Millis
+	// HasHeader is set if the first part has the whole header.
+	HasHeader bool
+}
+
+// Entries end an answer this long before the deadline, which counts from the end of the request's header; 1 ms is for rounding.
+const answerMarginMillis lovageshift.Millis = 20 + 1
+
+// cutAllowedFrom returns from when on the answer may be cut because of the deadline.
+func (a *Attempt) cutAllowedFrom() lovageshift.Millis {
+	switch {
+	case a.Parts == nil:
+		return a.Sent + routeMillis
+	case a.Parts.HasHeader:
+		return a.Sent + routeMillis - answerMarginMillis
+	case a.Parts.Rest == 0:
+		return a.Ended // the deadline has not begun
+	default:
+		return a.Parts.Rest + routeMillis - answerMarginMillis
+	}
+}
+
+// isNamed reports whether the entry must have known the request's id when it answered.
+func (a *Attempt) isNamed() bool {
+	return a.Parts == nil || a.Parts.HasHeader || a.Parts.Rest > 0 && a.Ended > a.Parts.Rest+crossingMillis
 }
 
 // ReportedNotRun reports whether an entry answered that the request did not run and never will: with one of the statuses
--- a/soak/check.go
+++ b/soak/check.go
@@ -32,6 +32,7 @@
 	FatalPartsStopped    Invariant = "requests with a part of their prompts that crashes targets are stopped"
 	TargetLimitsKept     Invariant = "a target receives no more requests than the limit that it names"
 	NoLossOnStopOrReload Invariant = "a stop or a reload loses no dispatched request"
+	BegunAnswered        Invariant = "a request of which an entry received a part is answered, also while the entry stops"
 	AnsweredByDeadline   Invariant = "requests are answered by the deadline of their route"
 	ValidNotDenied       Invariant = "valid requests are not denied"
 	NoUnexpectedExits    Invariant = "processes exit only when told to, and without an error"
@@ -120,7 +121,8 @@
 	for _, check := range []func(){
 		c.checkExits, c.checkAtMostOnce, c.checkRefusals, c.checkRequests, c.checkResponses, c.checkStreams, c.checkVersions,
 		c.checkKeys, c.checkZones, c.checkDraining, c.checkLeaving, c.checkRefusing, c.checkColdRate, c.checkQuota,
-		c.checkRetryBudget, c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkDeadlines, c.checkDenied, c.checkServed,
+		c.checkRetryBudget, c.checkFatalRequests, c.checkFatalParts, c.checkLimits, c.checkLostRequests, c.checkBegunRequests,
+		c.checkDeadlines, c.checkDenied, c.checkServed,
 	} {
 		check()
 	}
@@ -200,7 +202,7 @@
 func (c *checker) checkResponses() {
 	for _, attempt := range c.Attempts {
 		reply := attempt.Reply
-		if reply.Status != 0 && reply.RequestID != attempt.Request.ID {
+		if reply.Status != 0 && reply.RequestID != attempt.Request.ID && (reply.RequestID != "" || attempt.isNamed()) {
 			c.add(ResponseIntact, "%s got a response to %q", attempt.Request.ID, reply.RequestID)
 		}
 		if reply.Status != http.StatusOK {
@@ -304,7 +306,7 @@
 func (c *checker) checkLostRequests() {
 	for _, attempt := range c.Attempts {
 		arrivals := c.arrivalsByID[attempt.Request.ID]
-		if attempt.Abandoned || attempt.Reply.Complete || len(arrivals) == 0 || attempt.Ended > attempt.Sent+routeMillis {
+		if attempt.Abandoned || attempt.Reply.Complete || len(arrivals) == 0 || attempt.Ended > attempt.cutAllowedFrom() {
 			continue
 		}
 		otherFault := func(p FaultPeriod) bool {
@@ -319,12 +321,12 @@
 }
 
 // checkDeadlines counts the responses that ended more than deadlineTolerance after the deadline of their route. It
-// leaves out abandoned requests, and entries to which bounds of time did not apply when the request was sent or when
-// the response ended.
+// leaves out abandoned requests, those sent in parts, and entries to which bounds of time did not apply when the request
+// was sent or when the response ended.
 func (c *checker) checkDeadlines() {
 	sent, late := 0, 0
 	for _, attempt := range c.Attempts {
-		if attempt.Abandoned || !c.Settled(attempt.Entry, attempt.Sent) || !c.Settled(attempt.Entry, attempt.Ended) {
+		if attempt.Abandoned || attempt.Parts != nil || !c.Settled(attempt.Entry, attempt.Sent) || !c.Settled(attempt.Entry, attempt.Ended) {
 			continue
 		}
 		sent++
@@ -355,14 +357,14 @@
 }
 
 // checkServed counts, of the requests sent at or after RecoveryDue, those that got a complete response with status 200.
-// It leaves out abandoned requests and the small account, whose requests may be refused because of its quota.
+// It leaves out abandoned requests, those sent in parts and the small account, whose requests may be refused because of its quota.
 func (c *checker) checkServed() {
 	if c.RecoveryDue == 0 {
 		return
 	}
 	sent, served := 0, 0
 	for _, attempt := range c.Attempts {
-		if attempt.Sent < c.RecoveryDue || attempt.Abandoned || attempt.Account == smallAccount {
+		if attempt.Sent < c.RecoveryDue || attempt.Abandoned || attempt.Parts != nil || attempt.Account == smallAccount {
 			continue
 		}
 		sent++
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -132,6 +132,65 @@
 	})
 }
 
+func TestCheckRequestsInParts(t *testing.T) {
+	// inParts returns the invariants that a request violates whose connection ends without an answer a time after its first part.
+	inParts := func(after lovageshift.Millis, reply standin.Reply, period soak.FaultPeriod) []soak.Invariant {
+		attempt, _ := answered("r-1", "/book/", 10_000)
+		attempt.Parts, attempt.Reply, attempt.Ended = &soak.Parts{First: 10, Length: 90}, reply, attempt.Sent+after
+		return violated(&soak.History{Attempts: []*soak.Attempt{attempt}, FaultPeriods: []soak.FaultPeriod{period}})
+	}
+	period := func(kind soak.Kind, entry int, from, to lovageshift.Millis) soak.FaultPeriod {
+		return soak.FaultPeriod{Kind: kind, Entry: entry, From: from, To: to}
+	}
+	none, stop := standin.Reply{}, period(soak.EntryStopped, 0, 9000, 17_000)
+	Convey("A begun request without an answer is a violation, also while its entry stops or the store fails", t, func() {
+		So(inParts(2000, none, stop), ShouldContain, soak.BegunAnswered)
+		So(inParts(6, none, stop), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, none, period(soak.StoreFails, soak.AllEntries, 9000, 17_000)), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, none, period(soak.EntryKilled, 1, 9000, 17_000)), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, none, period(soak.EntryKilled, 0, 13_000, 17_000)), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, none, period(soak.EntryKilled, 0, 9000, 9900)), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, none, period(soak.EntryPaused, 0, 1000, 1900)), ShouldContain, soak.BegunAnswered)
+	})
+	Convey("A request that may have crossed the end of its connection, or whose entry was killed or paused, may have no answer", t, func() {
+		So(inParts(5, none, stop), ShouldBeEmpty)
+		So(inParts(2000, none, period(soak.EntryKilled, 0, 11_000, 12_000)), ShouldBeEmpty)
+		So(inParts(2000, none, period(soak.AllKilled, soak.AllEntries, 11_000, 12_000)), ShouldBeEmpty)
+		So(inParts(2000, none, period(soak.EntryPaused, 0, 1000, 2100)), ShouldBeEmpty)
+	})
+	Convey("A part of an answer is a violation unless a fault other than a stop or a reload may have cut it", t, func() {
+		cut := standin.Reply{Status: http.StatusOK, Signed: true, RequestID: "r-1"}
+		So(inParts(2000, cut, stop), ShouldContain, soak.BegunAnswered)
+		So(inParts(2000, cut, period(soak.TargetReset, soak.NoEntry, 11_000, 11_100)), ShouldBeEmpty)
+	})
+	Convey("An answer may be cut from 20 ms before the deadline on, which counts from the end of the header", t, func() {
+		cut := func(hasHeader bool, rest, after lovageshift.Millis) []soak.Invariant {
+			return violatedByOne("/chat/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+				a.Parts, a.Reply.Complete = &soak.Parts{HasHeader: hasHeader, Rest: a.Sent + rest}, false
+				a.Ended = a.Sent + after
+			})
+		}
+		So(cut(true, 2400, 2480), ShouldBeEmpty)
+		So(cut(true, 2400, 2478), ShouldResemble, []soak.Invariant{soak.NoLossOnStopOrReload, soak.BegunAnswered})
+		So(cut(false, 2400, 2480), ShouldResemble, []soak.Invariant{soak.NoLossOnStopOrReload, soak.BegunAnswered})
+		So(cut(false, 2400, 4880), ShouldBeEmpty)
+	})
+	Convey("An answer without the request's id is whole only if the entry has not had the header", t, func() {
+		refusal := standin.Reply{Status: http.StatusServiceUnavailable, Complete: true}
+		So(inParts(2000, refusal, stop), ShouldBeEmpty)
+		refusal.RequestID = "r-2"
+		So(inParts(2000, refusal, stop), ShouldContain, soak.ResponseIntact)
+		So(violatedByOne("/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+			a.Parts, a.Reply.RequestID = &soak.Parts{HasHeader: true}, ""
+		}), ShouldContain, soak.ResponseIntact)
+	})
+	Convey("A request in parts that was refused and ran is a violation", t, func() {
+		So(violatedByOne("/book/", func(a *soak.Attempt, _ *soak.Arrival, _ *soak.History) {
+			a.Parts, a.Reply = &soak.Parts{}, standin.Reply{Status: http.StatusRequestTimeout, Complete: true}
+		}), ShouldContain, soak.RefusedNotRun)
+	})
+}
+
 func TestCheckManyRequests(t *testing.T) {
 	unchanged := func(*soak.Attempt, *soak.Arrival) {}
 	Convey("More arrivals at a cold target than its cold rate allows are a violation", t, func() {
--- a/soak/history.go
+++ b/soak/history.go
@@ -146,10 +146,11 @@
 }
 
 // Summary returns one line with the number of requests, of responses by status, of incomplete responses with status 200,
-// of streams that callers took up and of those that went on, and of arrivals, and the kinds of the injected faults.
+// of streams that callers took up and of those that went on, of requests sent in parts and of those without a status, and of
+// arrivals, and the kinds of the injected faults.
 func (h *History) Summary() string {
 	byStatus := map[int]int{}
-	incomplete, takenUp, wentOn := 0, 0, 0
+	incomplete, takenUp, wentOn, inParts, unanswered := 0, 0, 0, 0, 0
 	for _, attempt := range h.Attempts {
 		byStatus[attempt.Reply.Status]++
 		if attempt.Reply.Status == http.StatusOK && !attempt.Reply.Complete {
@@ -161,11 +162,17 @@
 		if attempt.Request.LastEventID > 0 && len(attempt.Reply.EventIDs) > 0 {
 			wentOn++
 		}
+		if attempt.Parts != nil {
+			inParts++
+		}
+		if attempt.Parts != nil && attempt.Reply.Status == 0 && !attempt.Abandoned {
+			unanswered++
+		}
 	}
 	kinds := make([]string, 0, len(h.FaultPeriods))
 	for _, period := range h.FaultPeriods {
 		kinds = append(kinds, string(period.Kind))
 	}
-	return fmt.Sprintf("%d requests, %v by status, %d incomplete, %d of %d streams went on, %d arrivals, faults %s",
-		len(h.Attempts), byStatus, incomplete, wentOn, takenUp, len(h.Arrivals), strings.Join(kinds, " "))
+	return fmt.Sprintf("%d requests, %v by status, %d incomplete, %d of %d streams went on, %d of %d in parts unanswered, %d arrivals, faults %s",
+		len(h.Attempts), byStatus, incomplete, wentOn, takenUp, unanswered, inParts, len(h.Arrivals), strings.Join(kinds, " "))
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -117,6 +117,9 @@
 // stallKinds are those of Options.Stalls.
 var stallKinds = []Kind{BodiesStall}
 
+// stopKinds are those of Options.Stops, of which each entry gets all.
+var stopKinds = []Kind{EntryStopped, EntryStopped, EntryReloaded, EntryReloaded}
+
 // awayKinds stop or restart entries. targetLinkKinds hold back or end what passes between entries and targets.
 var (
 	awayKinds       = []Kind{EntryKilled, EntryStopped, EntryPaused, AllKilled}
@@ -163,7 +166,7 @@
 }
 
 // plan returns the faults of the run: those of NewPlan and, with Notices, Ends or Stalls, those of two draws of the noticeKinds,
-// endKinds or stallKinds.
+// endKinds or stallKinds, and with Stops the stopKinds for each entry.
 func (o Options) plan() []Fault {
 	faults := NewPlan(o.Seed, o.FaultWindow)
 	stalls := rand.New(rand.NewPCG(o.Seed, o.Seed+1))
@@ -179,9 +182,25 @@
 			faults = append(faults, drawEach(stallKinds, stalls, o.FaultWindow)...)
 		}
 	}
+	if o.Stops {
+		faults = append(faults, drawStops(rand.New(rand.NewPCG(o.Seed+1, o.Seed)), o.Entries, o.FaultWindow)...)
+	}
 	return sorted(faults)
 }
 
+// drawStops returns the stopKinds for each entry.
+func drawStops(random *rand.Rand, entries int, window lovageshift.Millis) []Fault {
+	var faults []Fault
+	for number := range entries {
+		for _, kind := range stopKinds {
+			fault := drawFault(random, kind, window)
+			fault.Subject = number
+			faults = append(faults, fault)
+		}
+	}
+	return faults
+}
+
 // sorted sorts faults in place by their start and returns them.
 func sorted(faults []Fault) []Fault {
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Start < faults[j].Start })
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,8 @@
 	Ends bool
 	// Stalls gives entries limits for memory and descriptors, and adds callers that hold back the ends of their bodies.
 	Stalls bool
+	// Stops adds series of stops and reloads of entries, which overlap.
+	Stops bool
 	// TrafficAfterRecovery is for how many milliseconds callers continue after the recovery time that follows the last
 	// fault.
 	TrafficAfterRecovery lovageshift.Millis
@@ -105,13 +107,13 @@
 
 // checkSize returns trace.LimitExceeded if the connections of a run may need more file descriptors than the limit of this
 // process, through whose proxies they pass. It counts, for each entry, a connection to each target and to half of the
-// callers.
+// callers, and beside them one of each caller that sends requests in parts.
 func checkSize(options Options) error {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return trace.Wrap(err)
 	}
-	needed := options.Entries * (options.Targets + options.Callers/2) * descriptorsPerConnection
+	needed := options.Entries*(options.Targets+options.Callers/2)*descriptorsPerConnection + options.Callers
 	if uint64(needed) > limit.Cur {
 		return trace.LimitExceeded("%d entries, %d targets and %d callers may need %d file descriptors; the limit is %d",
 			options.Entries, options.Targets, options.Callers, needed, limit.Cur)
@@ -230,6 +232,8 @@
 	for number := range r.options.Callers {
 		c := r.newCaller(number, r.options.Seed)
 		callers.Go(func() error { return c.run(traffic) })
+		inParts := r.newPartCaller(number)
+		callers.Go(func() error { return inParts.run(traffic) })
 	}
 	r.injectFaults(background)
 	lovageshift.Pause(background, recoveryMillis.Duration())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,7 @@
 }
 
 func TestInvariantsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	options := soak.DefaultOptions()
 	options.Entries, options.Callers, options.FaultWindow = 3, 12, 8000
 	violations, requests, err := runSeeds(t, options, 1, 2)
@@ -103,6 +104,19 @@
 	})
 }
 
+// Guards against entries that stop and leave requests, of which they have received a part, without an answer.
+func TestBegunRequestsAreAnsweredWhileEntriesStop(t *testing.T) {
+	t.Parallel()
+	options := soak.DefaultOptions()
+	options.Stops, options.Entries, options.Callers, options.FaultWindow = true, 3, 12, 6000
+	violations, requests, err := runSeeds(t, options, 7000, 7002)
+	Convey("Series of stops leave no begun request without an answer", t, func() {
+		So(err, ShouldBeNil)
+		So(violations, ShouldBeEmpty)
+		So(requests, ShouldNotContain, 0)
+	})
+}
+
 func TestTooLargeRunIsRefused(t *testing.T) {
 	Convey("A run that may need more file descriptors than the limit returns an error", t, func() {
 		options := soak.DefaultOptions()
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -58,39 +58,53 @@
 // Send sends a request to an IP:port address over the transport and reads the response to its end. The reply is empty
 // if the request could not be built or no response headers were received.
 func Send(ctx context.Context, transport http.RoundTripper, address string, request CallerRequest) Reply {
-	// The struct hides the type of the reader, so that the request has no GetBody: without it, net/http cannot send the
-	// body a second time.
-	body := struct{ io.Reader }{strings.NewReader(request.Body)}
-	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, body)
+	httpRequest, err := request.build(ctx, address)
 	if err != nil {
 		return Reply{}
 	}
-	httpRequest.Host = request.Host
-	httpRequest.ContentLength = int64(len(request.Body))
-	httpRequest.Header.Set(HeaderRequestID, request.ID)
-	httpRequest.Header.Set("Authorization", authScheme+request.Key)
-	httpRequest.Header.Set("Lovageshift-Token-Counts", fmt.Sprintf("%d,%d", request.PromptTokens, request.OutputTokens))
-	if request.PromptParts != "" {
-		httpRequest.Header.Set(HeaderPromptParts, request.PromptParts)
-	}
-	if request.LastEventID > 0 {
-		httpRequest.Header.Set(headerLastEvent, strconv.Itoa(request.LastEventID))
-		httpRequest.Header.Set(headerResumes, request.Resumes)
-	}
-	if request.TimeoutMillis > 0 {
-		httpRequest.Header.Set("Lovageshift-Deadline-Milliseconds", strconv.Itoa(request.TimeoutMillis))
-	}
 	response, err := transport.RoundTrip(httpRequest)
 	if err != nil {
 		return Reply{}
 	}
+	return readReply(response, request.LeaveAfter)
+}
+
+// build returns the request to an IP:port address.
+func (r CallerRequest) build(ctx context.Context, address string) (*http.Request, error) {
+	// The struct hides the type of the reader, so that the request has no GetBody: without it, net/http cannot send the
+	// body a second time.
+	body := struct{ io.Reader }{strings.NewReader(r.Body)}
+	httpRequest, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	httpRequest.Host = r.Host
+	httpRequest.ContentLength = int64(len(r.Body))
+	httpRequest.Header.Set(HeaderRequestID, r.ID)
+	httpRequest.Header.Set("Authorization", authScheme+r.Key)
+	httpRequest.Header.Set("Lovageshift-Token-Counts", fmt.Sprintf("%d,%d", r.PromptTokens, r.OutputTokens))
+	if r.PromptParts != "" {
+		httpRequest.Header.Set(HeaderPromptParts, r.PromptParts)
+	}
+	if r.LastEventID > 0 {
+		httpRequest.Header.Set(headerLastEvent, strconv.Itoa(r.LastEventID))
+		httpRequest.Header.Set(headerResumes, r.Resumes)
+	}
+	if r.TimeoutMillis > 0 {
+		httpRequest.Header.Set("Lovageshift-Deadline-Milliseconds", strconv.Itoa(r.TimeoutMillis))
+	}
+	return httpRequest, nil
+}
+
+// readReply reads the response to its end, or until it has had the number of events if that is not 0.
+func readReply(response *http.Response, leaveAfter int) Reply {
 	defer func() { _ = response.Body.Close() }()
 	reply := Reply{
 		Status:    response.StatusCode,
 		Signed:    response.Header.Get(HeaderSignature) != "",
 		RequestID: response.Header.Get(HeaderRequestID),
 	}
-	reply.read(response, request.LeaveAfter)
+	reply.read(response, leaveAfter)
 	return reply
 }
 
