--- a/process/drain.go
+++ b/process/drain.go
@@ -30,7 +30,8 @@
 // connections as soon as no caller uses them, accepts no more after drainRefuseMillis, and waits for the open ones. It ends the
 // requests that are left killMargin before the end of the grace period, so that callers without an answer get one, and closes the
 // connections closeMargin before it.
-// If the grace period is short, the entry serves for at most a third of it and accepts connections for at most an eighth more.
+// If the grace period is short, the entry serves for at most a third of it, accepts connections for at most an eighth more, and ends
+// the requests that are left at most a third, and closes the connections at most a sixth of it before its end.
 func (p *gatewayProcess) drain(server *http.Server, callers *connection.Listener, endRequests context.CancelCauseFunc) {
 	grace := p.watcher.current().Bounds.Grace
 	if grace <= 0 {
@@ -46,11 +47,11 @@
 	tasks.Go(func() { callers.CloseUnused(closing) })
 	lovageshift.Pause(context.Background(), min(drainRefuseMillis, grace/8).Duration())
 	callers.StopAccepting()
-	cut := !p.waitForCallers(callers, started+grace-killMargin)
+	cut := !p.waitForCallers(callers, started+grace-min(killMargin, grace/3))
 	if cut {
 		endRequests(gateway.ErrStopping)
 		callers.RefuseBegun()
-		p.waitForCallers(callers, started+grace-closeMargin)
+		p.waitForCallers(callers, started+grace-min(closeMargin, grace/6))
 	}
 	stopClosing()
 	tasks.Wait()
--- a/process/drain_test.go
+++ b/process/drain_test.go
@@ -26,6 +26,11 @@
 
 // startPlatformEntry starts the entry with a grace period of 1 s and the target.
 func startPlatformEntry(t *testing.T, replica *standin.Replica) *platformEntry {
+	return startPlatformEntryWithGrace(t, replica, 1)
+}
+
+// startPlatformEntryWithGrace starts the entry with a grace period of so many seconds and the target.
+func startPlatformEntryWithGrace(t *testing.T, replica *standin.Replica, seconds float64) *platformEntry {
 	store := standin.NewStore()
 	server := httptest.NewServer(store)
 	store.Put(standin.ConfigKey, standin.Catalog{
@@ -39,6 +44,8 @@
 	target := httptest.NewServer(replica)
 	store.Put(replica.Key(), replica.Record(standin.Registration{Address: target.Listener.Addr().String(), Zone: "zone-a", Sequence: 1}))
 	vm, path := newVM(t, server.Listener.Addr().String())
+	vm.Bounds["grace_s"] = seconds
+	writeSettings(t, vm, path)
 	ctx, stop := context.WithCancel(context.Background())
 	e := &platformEntry{vm: vm, stop: stop}
 	e.group.Go(func() error { return process.RunGateway(ctx, path, nil, process.GatewayOptions{}) })
--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -159,6 +159,18 @@
 	})
 }
 
+// Guards against a grace period so short that requests that still run or wait at its end are cut without an answer.
+func TestRequestsAreAnsweredWithinAShortGracePeriod(t *testing.T) {
+	Convey("Connections in each state", t, func() {
+		e := startPlatformEntryWithGrace(t, &standin.Replica{ID: "t-1", Service: "app", Slots: 100}, 0.2)
+		defer e.end()
+		request := func(id string) string {
+			return fmt.Sprintf("POST /book/%s HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: %s\r\nContent-Length: 20\r\n\r\n%20s", id, id, "body")
+		}
+		So(problemsOfAStop(e.vm.CallerAddress(), request, e.stop, []time.Duration{30 * time.Millisecond, never}), ShouldBeEmpty)
+	})
+}
+
 // Guards against the same at an entry that reaches its targets through agents.
 func TestRequestsThatArriveDuringAStopOfServeGetAnAnswer(t *testing.T) {
 	Convey("Connections in each state at each moment of a stop", t, func() {
