Let the callers in the tests of a stop see an end that has arrived

The callers look for the end of their connection by a read with a deadline 5 ms ahead. Go does not look in a read whose deadline has passed before it begins, so a caller that is delayed for 5 ms sends on a connection that it could see has ended, and the test calls that a request without an answer. It now peeks at the socket after the time-out. The check is as strict: only what has arrived counts as the end.

--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -18,6 +18,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"lovageshift/process"
 	"lovageshift/settings"
@@ -93,7 +94,22 @@
 func ended(connection net.Conn, answers *bufio.Reader) bool {
 	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
 	_, err := answers.Peek(1)
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	return !errors.Is(err, os.ErrDeadlineExceeded) || hasUnread(connection)
+}
+
+// hasUnread reports whether bytes or the end of the connection have arrived. A read whose deadline has passed before it begins does
+// not look for them.
+func hasUnread(connection net.Conn) bool {
+	raw, err := connection.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked [1]byte
+	var sockErr error
+	err = raw.Control(func(descriptor uintptr) {
+		_, _, sockErr = unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && sockErr != unix.EAGAIN
 }
 
 // readAnswer reads an answer. It reports whether the answer asks to close the connection, and what is wrong with it, "" for nothing.
