--- a/process/drain.go
+++ b/process/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"lovageshift"
 	"lovageshift/connection"
@@ -22,6 +23,8 @@
 	// connections closeMargin before it.
 	killMargin  lovageshift.Millis = 300
 	closeMargin lovageshift.Millis = 150
+	// Interval at which requests are refused then of which a part has arrived since.
+	refuseInterval = 20 * time.Millisecond
 	// Grace period, which is the time between SIGTERM and SIGKILL, used if the settings give none.
 	defaultGrace lovageshift.Millis = 8000
 )
@@ -51,6 +54,7 @@
 	if cut {
 		endRequests(gateway.ErrStopping)
 		callers.RefuseBegun()
+		tasks.Go(func() { lovageshift.Every(closing, refuseInterval, callers.RefuseBegun) })
 		p.waitForCallers(callers, started+grace-min(closeMargin, grace/6))
 	}
 	stopClosing()
