Split package connection by concept, and peek at sockets by one function

conn.go and listener.go had grown to 400 lines with four concerns each: accepting, reading, retiring and closing have a file each. connection.HasUnread stands for the three copies in connection, link and the tests of a stop; a reset counts as the other side's end, as two of them had it. Names that stopped a reader: incomplete for a header that is not whole, closeCalled beside the phase closing.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -8,21 +8,13 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"lovageshift"
 )
 
-const (
-	// How long a connection stays open for the caller to close it after this process has, so that the last answer is not lost to a
-	// reset. A caller that lost a packet gets it again within this time.
-	lingerTime = time.Second
-	// How long writing an answer to a header that is not whole may take. It fits into the empty buffer of the connection.
-	refusalTime = time.Second
-)
+// How long writing an answer to a header that is not whole may take. It fits into the empty buffer of the connection.
+const refusalTime = time.Second
 
 // aLongTimeAgo is a read deadline that makes a waiting Read return at once.
 var aLongTimeAgo = time.Unix(1, 0)
@@ -44,18 +36,6 @@
 	closing
 )
 
-// retirement says under which conditions the reader of a connection ends it.
-type retirement int
-
-const (
-	// stay means that it doesn't.
-	stay retirement = iota
-	// ifUnused means if no byte of a request has arrived.
-	ifUnused
-	// ifHeaderless means also if a part of a request's header has arrived, which then gets an answer.
-	ifHeaderless
-)
-
 // conn is one connection of a caller.
 type conn struct {
 	net.Conn
@@ -77,8 +57,8 @@
 	// answered is set once an answer has ended on the connection.
 	answered bool
 	// peerEnded is set once the caller has closed the connection or reading from it has failed, resets if closing it resets it,
-	// noLinger if it is closed without waiting for the caller, closed once Close has been called.
-	peerEnded, resets, noLinger, closed bool
+	// noLinger if it is closed without waiting for the caller, closeCalled once Close has been.
+	peerEnded, resets, noLinger, closeCalled bool
 }
 
 func newConn(accepted net.Conn, l *Listener) *conn {
@@ -120,14 +100,14 @@
 		return nil, false, err
 	case c.phase == running:
 		return nil, false, err // a deadline of the server
-	case c.hasUnread():
+	case HasUnread(c.Conn):
 		_ = c.Conn.SetReadDeadline(time.Time{}) // reading returns at once
 		return nil, true, nil
 	case c.phase == unused:
 		c.setPhase(closing)
 		c.closeWrite() // the server may take its time to close the connection
 		return nil, false, io.EOF
-	case c.retirement == ifHeaderless:
+	case c.retirement == ifIncomplete:
 		c.setPhase(closing)
 		return options.Stopping, false, io.EOF
 	case c.headerOverdue():
@@ -215,9 +195,9 @@
 func (c *conn) applyDeadline() error {
 	deadline := c.deadline
 	switch {
-	case c.closed:
+	case c.closeCalled:
 		return nil // Close has set one
-	case c.phase == closing, c.retirement == ifUnused && c.phase == unused, c.retirement == ifHeaderless && c.phase != running:
+	case c.phase == closing, c.retirement == ifUnused && c.phase == unused, c.retirement == ifIncomplete && c.phase != running:
 		deadline = aLongTimeAgo
 	case c.phase == begun:
 		deadline = time.Time{}
@@ -234,176 +214,3 @@
 	timeout := c.listener.options.HeaderTimeout
 	return timeout > 0 && (c.listener.options.Clock.Now()-c.since).Duration() >= timeout-time.Millisecond
 }
-
-// hasUnread reports whether bytes or the caller's end have arrived that were not read. A read whose deadline has passed before it
-// begins does not look for bytes.
-func (c *conn) hasUnread() bool {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked error
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, peeked = unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && peeked == nil
-}
-
-// retire makes the reader end the connection if it has been unused for the time or, if headerless is set, also if a part of a
-// header has arrived.
-func (c *conn) retire(headerless bool, unusedFor lovageshift.Millis) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.setRetirement(headerless, unusedFor)
-}
-
-// setRetirement does what retire says, and reports whether the reader may end the connection. The caller holds the mutex.
-func (c *conn) setRetirement(headerless bool, unusedFor lovageshift.Millis) bool {
-	switch {
-	case headerless && (c.phase == unused || c.phase == begun):
-		c.retirement = ifHeaderless
-	case c.phase == unused && c.retirement == stay && c.listener.options.Clock.Now()-c.since >= unusedFor:
-		c.retirement = ifUnused
-	default:
-		return false
-	}
-	_ = c.applyDeadline()
-	return true
-}
-
-// shedRank returns the rank of the connection among those that may be closed to make room, and whether it may be.
-func (c *conn) shedRank() (shedRank, bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	rank := shedRank{since: c.since}
-	switch {
-	case c.phase == closing && c.closed:
-		rank.class = shedClosing
-	case c.retirement != stay:
-		return rank, false // is being closed
-	case c.phase == unused && c.answered:
-		rank.class = shedIdle
-	case (c.phase == unused || c.phase == begun) && c.listener.options.Clock.Now()-c.since >= headerMillis:
-		rank.class = shedHeaderless
-	default:
-		return rank, false
-	}
-	return rank, true
-}
-
-// shed closes the connection to make room for another one, unless a whole header arrives on it or, if it was unused, any byte.
-func (c *conn) shed() {
-	c.mutex.Lock()
-	lingers := c.phase == closing && c.closed
-	if !lingers && c.setRetirement(c.phase == begun, 0) {
-		c.noLinger = true
-	}
-	c.mutex.Unlock()
-	if lingers {
-		c.abort()
-	}
-}
-
-// isEnding reports whether the connection is about to end and not waiting for its caller.
-func (c *conn) isEnding() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.phase == closing {
-		return !c.closed || c.noLinger
-	}
-	return c.retirement != stay
-}
-
-// Close ends the connection for the server. Unless the caller has ended it, it stays open for a moment after its end was sent, as
-// closing it resets it if bytes have arrived that were not read, and the caller then may not get the last answer.
-func (c *conn) Close() error {
-	c.mutex.Lock()
-	if c.closed {
-		c.mutex.Unlock()
-		return nil
-	}
-	report, isUnanswered := c.unanswered()
-	c.closed = true
-	c.setPhase(closing)
-	lingers := !c.peerEnded && !c.resets && !c.noLinger && c.closeWrite()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	if lingers {
-		c.listener.tasks.Go(c.linger)
-	}
-	c.mutex.Unlock()
-	if isUnanswered {
-		c.listener.options.OnUnanswered(report)
-	}
-	if lingers {
-		return nil
-	}
-	return c.end()
-}
-
-// unanswered returns the report on the connection, and whether it ends with a request that has no answer. The caller holds the mutex.
-func (c *conn) unanswered() (Unanswered, bool) {
-	now := c.listener.options.Clock.Now()
-	return Unanswered{
-		Caller: c.RemoteAddr().String(), State: c.state, Received: c.received, Age: now - c.receivedAt, Open: now - c.openedAt,
-	}, !c.peerEnded && c.received > 0 && c.written == 0
-}
-
-// closeWrite sends the end of the connection to the caller, and reports whether that could be done.
-func (c *conn) closeWrite() bool {
-	inner, ok := c.Conn.(interface{ CloseWrite() error })
-	return ok && inner.CloseWrite() == nil
-}
-
-// linger waits until the caller has closed the connection, and closes it. What still arrives after an answer is discarded, as it
-// is the rest of the answered request. A request that arrives on a connection that was unused is left unread.
-func (c *conn) linger() {
-	c.mutex.Lock()
-	discard := make([]byte, 1)
-	if c.written > 0 {
-		discard = make([]byte, 4<<10)
-	}
-	c.mutex.Unlock()
-	for {
-		_, err := c.Conn.Read(discard)
-		if err != nil || len(discard) == 1 {
-			break
-		}
-	}
-	_ = c.end()
-}
-
-// abort closes the connection at once.
-func (c *conn) abort() {
-	c.mutex.Lock()
-	c.noLinger = true
-	c.mutex.Unlock()
-	_ = c.Close()
-	_ = c.end()
-}
-
-// end closes the underlying connection.
-func (c *conn) end() error {
-	err := c.Conn.Close()
-	c.listener.remove(c)
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
-// SetLinger sets what happens when the connection is closed, as net.TCPConn.SetLinger does. It returns an error if the underlying
-// connection cannot do that.
-func (c *conn) SetLinger(seconds int) error {
-	inner, ok := c.Conn.(interface{ SetLinger(seconds int) error })
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	c.mutex.Lock()
-	c.resets = seconds == 0
-	c.mutex.Unlock()
-	return inner.SetLinger(seconds)
-}
--- a/connection/limit.go
+++ b/connection/limit.go
@@ -84,7 +84,7 @@
 const (
 	shedClosing shedClass = iota
 	shedIdle
-	shedHeaderless
+	shedIncomplete
 )
 
 // shedRank orders the connections that may be closed.
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -19,10 +18,6 @@
 	unusedMillis lovageshift.Millis = 400
 	// Interval at which a stopping listener looks for unused connections, and Wait for open ones.
 	retireInterval = 20 * time.Millisecond
-	// How long a listener that stops waits for further connections, which callers have already opened.
-	lastAcceptTime = 50 * time.Millisecond
-	// Shortest time for which it waits for one.
-	minAcceptTime = time.Millisecond
 )
 
 // Unanswered describes a connection that this process closed although bytes of a request had arrived on it that got no answer.
@@ -45,9 +40,9 @@
 	Limit int
 	// HeaderTimeout is how long a caller may take from the first byte of a request's header to the last, 0 for no bound.
 	HeaderTimeout time.Duration
-	// OnFull is called repeatedly while the limit is reached and no connection can be closed.
+	// OnFull is called repeatedly while the limit is reached and no connection can be closed. It must be set if there is a limit.
 	OnFull func()
-	// OnUnanswered is called after such a connection was closed.
+	// OnUnanswered is called after such a connection was closed. It must be set.
 	OnUnanswered func(Unanswered)
 	// TooSlow and Stopping are the answers, encoded by Encode, to a request whose header is not whole after HeaderTimeout, or when
 	// the connection must be closed.
@@ -65,18 +60,18 @@
 
 	mutex sync.Mutex
 	open  map[*conn]struct{}
-	shed  int64 // connections closed to make room for others
-
-	freed    chan struct{} // has an item after a connection was closed or became unused
-	stopping chan struct{} // closed by StopAccepting
-	accepted chan struct{} // closed once no more connections are accepted after that
-	aborted  chan struct{} // closed by Abort
-	closed   chan struct{} // closed by Close
-	stopOnce sync.Once
-	lastOnce sync.Once
-	cutOnce  sync.Once
-	endOnce  sync.Once
-	tasks    sync.WaitGroup
+	shed  int64 // how often a connection was chosen to be closed for others
+
+	freed     chan struct{} // has an item after a connection was closed or became unused
+	stopping  chan struct{} // closed by StopAccepting
+	accepted  chan struct{} // closed once no more connections are accepted after that
+	aborted   chan struct{} // closed by Abort
+	closed    chan struct{} // closed by Close
+	stopOnce  sync.Once
+	lastOnce  sync.Once
+	abortOnce sync.Once
+	endOnce   sync.Once
+	tasks     sync.WaitGroup
 	// acceptTime is how long Accept may still wait for connections after StopAccepting; only Accept uses it.
 	acceptTime time.Duration
 }
@@ -91,98 +86,6 @@
 	}
 }
 
-// Accept returns the next connection once there is room for it. After StopAccepting, it returns only when the listener is closed or
-// after a temporary error.
-func (l *Listener) Accept() (net.Conn, error) {
-	for {
-		accepted, err := l.acceptNext()
-		if err != nil {
-			return nil, l.endAccepting(err)
-		}
-		c := newConn(accepted, l)
-		if l.waitForRoom(c) {
-			return c, nil
-		}
-		err = accepted.Close()
-		if isClosed(l.closed) {
-			return nil, errors.Join(net.ErrClosed, err)
-		}
-	}
-}
-
-// acceptNext accepts the next connection. After StopAccepting, it waits lastAcceptTime for them, in all calls together: those that
-// callers have opened while there was no room do not count.
-func (l *Listener) acceptNext() (net.Conn, error) {
-	for {
-		deadline := l.acceptDeadline()
-		begun := time.Now()
-		accepted, err := l.Listener.Accept()
-		if !deadline.IsZero() {
-			l.acceptTime -= time.Since(begun)
-		}
-		// A call that began after its deadline did not look for connections.
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !isClosed(l.stopping) || begun.Before(deadline) {
-			return accepted, err
-		}
-	}
-}
-
-// acceptDeadline sets and returns the time until which to wait for the next connection, the zero time before StopAccepting.
-func (l *Listener) acceptDeadline() time.Time {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	timed, ok := l.Listener.(deadliner)
-	if !ok || !isClosed(l.stopping) {
-		return time.Time{}
-	}
-	deadline := time.Now().Add(max(l.acceptTime, minAcceptTime))
-	_ = timed.SetDeadline(deadline)
-	return deadline
-}
-
-// endAccepting returns the error with which accepting failed. After StopAccepting it waits until the listener is closed, as a server
-// whose listener fails cannot be stopped without cutting requests, unless the server accepts again after the error.
-func (l *Listener) endAccepting(err error) error {
-	if !isClosed(l.stopping) || isTemporary(err) {
-		return err
-	}
-	err = l.Listener.Close()
-	l.lastOnce.Do(func() { close(l.accepted) })
-	<-l.closed
-	return errors.Join(net.ErrClosed, err)
-}
-
-// isTemporary reports whether http.Server accepts again after the error.
-func isTemporary(err error) bool {
-	var failure net.Error
-	return errors.As(err, &failure) && failure.Temporary() && !failure.Timeout()
-}
-
-// deadliner is a listener whose Accept fails from a set time on.
-type deadliner interface{ SetDeadline(time.Time) error }
-
-// StopAccepting accepts the connections that callers have already opened, and then no more.
-func (l *Listener) StopAccepting() {
-	l.stopOnce.Do(func() {
-		l.mutex.Lock()
-		defer l.mutex.Unlock()
-		close(l.stopping)
-		timed, ok := l.Listener.(deadliner)
-		if !ok || timed.SetDeadline(aLongTimeAgo) != nil { // wakes up Accept
-			_ = l.Listener.Close()
-		}
-	})
-}
-
-func isClosed(c chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 // Close closes the listener, and not its connections.
 func (l *Listener) Close() error {
 	var err error
@@ -232,7 +135,7 @@
 
 // Abort closes all connections at once, and those that are accepted later.
 func (l *Listener) Abort() {
-	l.cutOnce.Do(func() {
+	l.abortOnce.Do(func() {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		close(l.aborted)
--- a/link/served.go
+++ b/link/served.go
@@ -6,12 +6,12 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcwire"
+
+	"lovageshift/connection"
 )
 
 const (
@@ -46,7 +46,7 @@
 			c.recordArrival(into[:count])
 			return count, err
 		}
-		if isLastRead && !c.hasUnread() {
+		if isLastRead && !connection.HasUnread(c.Conn) {
 			return 0, io.EOF
 		}
 		isLastRead = c.prepareRead()
@@ -70,33 +70,6 @@
 	return isLast
 }
 
-// hasUnread reports whether bytes have arrived that were not read. A read whose deadline has passed before it begins does not look
-// for them.
-func (c *servedConn) hasUnread() bool {
-	inner := c.Conn
-	for {
-		wrapper, ok := inner.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		inner = wrapper.NetConn()
-	}
-	socket, ok := inner.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	count := 0
-	var peeked [1]byte
-	err = raw.Control(func(descriptor uintptr) {
-		count, _, _ = unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && count > 0
-}
-
 // HandleRPC passes a call to the server's handler.
 func (c *servedConn) HandleRPC(stream drpc.Stream, rpc string) error {
 	c.recordCall(1)
--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -18,8 +18,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
+	"lovageshift/connection"
 	"lovageshift/process"
 	"lovageshift/settings"
 	"lovageshift/standin"
@@ -91,25 +91,10 @@
 func sleepUntil(moment time.Time) { time.Sleep(time.Until(moment)) }
 
 // ended reports whether the other side has closed the connection.
-func ended(connection net.Conn, answers *bufio.Reader) bool {
-	_ = connection.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+func ended(caller net.Conn, answers *bufio.Reader) bool {
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
 	_, err := answers.Peek(1)
-	return !errors.Is(err, os.ErrDeadlineExceeded) || hasUnread(connection)
-}
-
-// hasUnread reports whether bytes or the end of the connection have arrived. A read whose deadline has passed before it begins does
-// not look for them.
-func hasUnread(connection net.Conn) bool {
-	raw, err := connection.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peeked [1]byte
-	var sockErr error
-	err = raw.Control(func(descriptor uintptr) {
-		_, _, sockErr = unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && sockErr != unix.EAGAIN
+	return !errors.Is(err, os.ErrDeadlineExceeded) || connection.HasUnread(caller)
 }
 
 // readAnswer reads an answer. It reports whether the answer asks to close the connection, and what is wrong with it, "" for nothing.
