--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -142,21 +142,23 @@
 	return problems
 }
 
+// bookRequest returns the request with the id.
+func bookRequest(id string) string {
+	return fmt.Sprintf("POST /book/%s HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: %s\r\nContent-Length: 20\r\n\r\n%20s", id, id, "body")
+}
+
 // Guards against callers that get no answer although a stopping entry had received a part of their request.
 func TestRequestsThatArriveDuringAStopGetAnAnswer(t *testing.T) {
 	Convey("Connections in each state at each moment of a stop", t, func() {
 		replica := &standin.Replica{ID: "t-1", Service: "app", Slots: 100}
 		e := startPlatformEntry(t, replica)
 		defer e.end()
-		request := func(id string) string {
-			return fmt.Sprintf("POST /book/%s HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: %s\r\nContent-Length: 20\r\n\r\n%20s", id, id, "body")
-		}
 		// The entry refuses from 333 ms on, stops accepting at 458 ms, and ends what is left from 700 ms on.
 		moments := []time.Duration{150, 390, 440, 480, 520, 560, 600, 650}
 		for i := range moments {
 			moments[i] *= time.Millisecond
 		}
-		So(problemsOfAStop(e.vm.CallerAddress(), request, e.stop, append(moments, never)), ShouldBeEmpty)
+		So(problemsOfAStop(e.vm.CallerAddress(), bookRequest, e.stop, append(moments, never)), ShouldBeEmpty)
 	})
 }
 
@@ -165,10 +167,7 @@
 	Convey("Connections in each state", t, func() {
 		e := startPlatformEntryWithGrace(t, &standin.Replica{ID: "t-1", Service: "app", Slots: 100}, 0.2)
 		defer e.end()
-		request := func(id string) string {
-			return fmt.Sprintf("POST /book/%s HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: %s\r\nContent-Length: 20\r\n\r\n%20s", id, id, "body")
-		}
-		So(problemsOfAStop(e.vm.CallerAddress(), request, e.stop, []time.Duration{30 * time.Millisecond, never}), ShouldBeEmpty)
+		So(problemsOfAStop(e.vm.CallerAddress(), bookRequest, e.stop, []time.Duration{30 * time.Millisecond, never}), ShouldBeEmpty)
 	})
 }
 
@@ -208,7 +207,7 @@
 		connection, err := net.Dial("tcp", e.vm.CallerAddress())
 		So(err, ShouldBeNil)
 		defer func() { _ = connection.Close() }()
-		_, _ = io.WriteString(connection, "POST /book/r1 HTTP/1.1\r\nHost: h\r\nLovageshift-Request-Id: r1\r\nContent-Length: 4\r\n\r\nbody")
+		_, _ = io.WriteString(connection, bookRequest("r1"))
 		time.Sleep(100 * time.Millisecond)
 		e.stop()
 		closes, problem := readAnswer(connection, bufio.NewReader(connection))
