--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -106,10 +106,10 @@
 			}
 			send()
 			number := waitForSaid(s, targets, "Retry-After: 1.0\r\n", send)
-			told := time.Now()
+			refusedAt := time.Now()
 			full, other := targets[number], targets[1-number]
 			before := full.arrivals()
-			for time.Since(told) < 900*time.Millisecond {
+			for time.Since(refusedAt) < 900*time.Millisecond {
 				So(send().status, ShouldEqual, http.StatusOK)
 			}
 			So(full.arrivals(), ShouldEqual, before)
